--- /dev/null
+++ b/src/main/java/yewpath/Egress.java
@@ -0,0 +1,23 @@
+package yewpath;
+
+/** What {@link Logic} may ask of the relay around it; every index is one the caller handed in before. */
+public interface Egress {
+    /** {@code withinMicros} of 0 leaves the shot out until the envelope's expiry. */
+    void send(int envelope, int endpoint, long withinMicros);
+
+    void defer(int envelope, long pauseMicros);
+
+    void abort(int envelope);
+
+    void cancel(int envelope, int shot);
+
+    void probe(int endpoint);
+
+    /** Calls {@link Logic#due} once, at the first turn at least {@code inMicros} from now. */
+    void alarm(long inMicros);
+
+    /** {@code follow} asks for changes from now on, otherwise for the whole list once. */
+    void list(boolean follow);
+
+    void note(int relay, byte[] text);
+}
--- /dev/null
+++ b/src/main/java/yewpath/Logic.java
@@ -0,0 +1,1037 @@
+package yewpath;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.zip.CRC32;
+
+/**
+ * Every decision of one relay. A caller hands in what happened (the clock by {@link #at}, then the public methods
+ * below) and closes each round with {@link #turn}, in which envelopes go out; what Logic wants done it asks of
+ * {@link Egress}, and {@link Settings} is what it is told at its start. Not thread-safe: one caller, one relay.
+ * Envelopes, endpoints, destinations, offerings, tenants, kinds, zones and keys are small indices of the caller's.
+ * The mechanism, and each exception to it with its condition, is explained in docs/design.md.
+ */
+public final class Logic {
+    public static final int FULFILLED = 0;
+    public static final int ERROR = 1;
+    public static final int FULL = 2;
+    public static final int TIMEOUT = 3;
+    public static final int UNREACHED = 4;
+    public static final int BROKEN = 5;
+    public static final int CANCELLED = 6;
+    public static final int MOOT = 7;
+    private static final int UP = 0;
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000_000;
+    private static final long NEVER = Long.MAX_VALUE / 4;
+
+    // The design's own figures: where a window starts and ends, how it is cut and raised, and how often.
+    private static final double START = 0.75;
+    private static final double CUT = 0.8;
+    private static final double RAISE = 1.5;
+    private static final long TICK = SECOND;
+    private static final long IDLE = 20 * SECOND;
+
+    /** What an envelope's last step left to be done with that step's result. */
+    private interface Next {
+        void with(int outcome);
+    }
+
+    private static final class Envelope {
+        int id;
+        int offering;
+        int tenant;
+        long agreedAt;
+        long expiry;
+        long giveUpAt;
+        Destination to;
+        KeyLine line;
+        int shots;
+        long doubtSince = -1;
+        int doubtZone;
+        boolean ended;
+        boolean held;
+        Call call;
+        Next next;
+    }
+
+    private static final class Call {
+        int endpoint;
+        Destination to;
+        int generation;
+        long sentAt;
+        int size;
+        int left;
+        boolean learnt;
+    }
+
+    private static final class KeyLine {
+        final ArrayDeque<Envelope> waiting = new ArrayDeque<>();
+        long restUntil;
+    }
+
+    /** What a limit, a wait and a pace belong to: a destination, or one of its endpoints where routes are apart. */
+    private static final class Route {
+        double listed = Double.NaN;
+        double told = Double.NaN;
+        long waitUntil;
+        int fulls;
+        long firstFull;
+        double factor = 1;
+        double tokens = 1;
+        long tokensAt;
+        boolean pressed;
+        boolean refusedThisTick;
+        int members;
+    }
+
+    private final class Destination {
+        int[] endpoints = new int[2];
+        int size;
+        Route shared;
+        int bundle = 1;
+        double window = start;
+        int generation;
+        int sentUnder;
+        boolean filled;
+        int inFlight;
+        int held;
+        long lastUsed;
+        final List<ArrayDeque<Envelope>> fresh = new ArrayList<>();
+        final List<ArrayDeque<Envelope>> late = new ArrayList<>();
+
+        Destination() {
+            for (int i = 0; i < offerings.length; i++) {
+                fresh.add(new ArrayDeque<>());
+                late.add(new ArrayDeque<>());
+            }
+        }
+    }
+
+    private final Egress out;
+    private final long seed;
+    private long drawn;
+    private long now;
+    private long turns;
+    private long alarmAt = NEVER;
+    private long tickAt;
+    private int slotsOut;
+    private int open;
+    private Envelope[] envelopes = new Envelope[64];
+    private Destination[] destinations = new Destination[16];
+    private final ArrayList<Destination> known = new ArrayList<>();
+    private final Map<Integer, KeyLine> keyLines = new HashMap<>();
+    private final PriorityQueue<Envelope> byGiveUp =
+        new PriorityQueue<>((a, b) -> a.giveUpAt != b.giveUpAt ? Long.compare(a.giveUpAt, b.giveUpAt)
+            : Integer.compare(a.id, b.id));
+    private final ArrayList<KeyLine> resting = new ArrayList<>();
+
+    // ---- Settings to figures -------------------------------------------------------------------------------
+
+    private final Settings.Offering[] offerings;
+    private final boolean[] apart;
+    private final int[] bundles;
+    private final int slots;
+    private final int cap;
+    private final int sickCap;
+    private final double start;
+    private final int shotLimit;
+    private final int fillMark;
+    private final int relays;
+    private final boolean halving;
+    private final boolean ratesListed;
+    private final double rateDoubt;
+    private final double coldFrom;
+    private final long coldFor;
+    private final double coldMultiple;
+    private final long settle;
+    private final boolean listAsked;
+    private final long askAgain;
+
+    public Logic(Settings s, long seed, Egress out, long now) {
+        this.out = out;
+        this.seed = seed;
+        this.now = now;
+        offerings = s.offerings.clone();
+        apart = s.routesApart.clone();
+        bundles = s.bundle.clone();
+        slots = Math.max(1, s.slots);
+        cap = Math.max(1, (int) (START * slots));
+        sickCap = Math.max(1, slots / 2);
+        start = cap;
+        shotLimit = s.shotLimit > 0 ? s.shotLimit : Integer.MAX_VALUE;
+        fillMark = s.holdLimit > 0 ? Math.max(1, s.holdLimit - Math.max(1, s.holdLimit / 16)) : Integer.MAX_VALUE;
+        relays = Math.max(1, s.relays);
+        halving = s.halving;
+        ratesListed = s.listTellsRate;
+        rateDoubt = s.rateIsRough ? 1 / 1.5 : 1;
+        coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
+        coldFor = s.coldFor > 0 ? s.coldFor : 15 * SECOND;
+        coldMultiple = 0.6 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
+        settle = s.settleAfterDoubt;
+        listAsked = s.listAsked;
+        askAgain = s.askEvery > 0 ? Math.min(SECOND, s.askEvery / 8) : SECOND;
+        tickAt = now + TICK;
+        if (listAsked) {
+            askList();
+        }
+    }
+
+    public void at(long clock) {
+        now = clock;
+    }
+
+    /** Uniform in [0, 1): a checksum, so that the same events give the same actions on any machine. */
+    private double chance() {
+        CRC32 crc = new CRC32();
+        long word = seed;
+        for (int i = 0; i < 16; i++) {
+            crc.update((int) word & 0xff);
+            word = i == 7 ? drawn : word >>> 8;
+        }
+        drawn++;
+        return crc.getValue() / 4294967296.0;
+    }
+
+    // ---- Hold ----------------------------------------------------------------------------------------------
+
+    public void taken(int id, int offering, int tenant, int key, int destination, long expiry, boolean orphan) {
+        if (id >= envelopes.length) {
+            envelopes = Arrays.copyOf(envelopes, id * 2);
+        }
+        Envelope e = new Envelope();
+        envelopes[id] = e;
+        Settings.Offering o = offerings[offering];
+        e.id = id;
+        e.offering = offering;
+        e.tenant = tenant;
+        e.expiry = expiry;
+        e.agreedAt = expiry - o.expiry() + o.agreed();
+        e.to = destination(destination);
+        e.giveUpAt = expiry - GIVE_UP_AHEAD;
+        open++;
+        byGiveUp.add(e);
+        if (o.ordered() && key >= 0) {
+            e.line = keyLines.computeIfAbsent(key, k -> new KeyLine());
+            e.line.waiting.add(e);
+            if (e.line.waiting.peek() == e) {
+                step(e.line);
+            }
+        } else {
+            hold(e, false);
+        }
+        if (open > fillMark) {
+            shed();
+        }
+    }
+
+    /** An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope. */
+    private static final long GIVE_UP_AHEAD = 40 * MS;
+
+    private Destination destination(int index) {
+        if (index >= destinations.length) {
+            destinations = Arrays.copyOf(destinations, index * 2);
+        }
+        if (destinations[index] == null) {
+            destinations[index] = new Destination();
+            known.add(destinations[index]);
+        }
+        return destinations[index];
+    }
+
+    private void hold(Envelope e, boolean again) {
+        e.held = true;
+        e.to.held++;
+        ArrayDeque<Envelope> line = e.to.fresh.get(e.offering);
+        if (again) {
+            line.addFirst(e);
+        } else {
+            line.addLast(e);
+        }
+    }
+
+    private void unhold(Envelope e) {
+        if (e.held) {
+            e.held = false;
+            e.to.held--;
+        }
+    }
+
+    private double worth(Envelope e, long at) {
+        Settings.Offering o = offerings[e.offering];
+        if (at <= e.agreedAt) {
+            return o.revenue();
+        }
+        if (at >= e.expiry) {
+            return 0;
+        }
+        double lateBy = at - e.agreedAt;
+        double part = halving ? Math.max(o.lateRevenue(), Math.pow(0.5, lateBy / Math.max(1, o.agreed())))
+            : 1 - (1 - o.lateRevenue()) * lateBy / Math.max(1, e.expiry - e.agreedAt);
+        return o.revenue() * part;
+    }
+
+    /** First come first served would make every envelope of a backlog late; this asks what a delay would cost. */
+    private double urgency(Envelope e, long lat, long horizon) {
+        double soon = worth(e, now + lat);
+        return soon - worth(e, now + lat + horizon) + 0.25 * soon;
+    }
+
+    private Envelope head(ArrayDeque<Envelope> line) {
+        while (!line.isEmpty() && !line.peekFirst().held) {
+            line.pollFirst();
+        }
+        return line.peekFirst();
+    }
+
+    private Envelope tail(ArrayDeque<Envelope> line) {
+        while (!line.isEmpty() && !line.peekLast().held) {
+            line.pollLast();
+        }
+        return line.peekLast();
+    }
+
+    /** Envelopes that can't make their agreed time any more leave the line of those that can. */
+    private void sortLate(Destination d, long lat) {
+        for (int i = 0; i < offerings.length; i++) {
+            ArrayDeque<Envelope> fresh = d.fresh.get(i);
+            for (Envelope e = head(fresh); e != null && now + lat > e.agreedAt; e = head(fresh)) {
+                fresh.pollFirst();
+                d.late.get(i).addLast(e);
+            }
+        }
+    }
+
+    /** The hold is nearly full: what one destination can't take must not keep out envelopes for the others. */
+    private void shed() {
+        Destination most = null;
+        for (Destination d : known) {
+            if (d.held > 0 && (most == null || d.held > most.held)) {
+                most = d;
+            }
+        }
+        if (most == null) {
+            return;
+        }
+        Envelope least = null;
+        double leastWorth = Double.MAX_VALUE;
+        for (int i = 0; i < offerings.length; i++) {
+            Envelope e = head(most.late.get(i));
+            e = e == null ? tail(most.fresh.get(i)) : e;
+            if (e != null && worth(e, now + SECOND) < leastWorth) {
+                least = e;
+                leastWorth = worth(e, now + SECOND);
+            }
+        }
+        if (least != null) {
+            finish(least, SECOND);
+        }
+    }
+
+    /** One envelope of a key at a time, in the order taken; after a shot that may still run the key rests. */
+    private void step(KeyLine line) {
+        Envelope first = line.waiting.peek();
+        while (first != null && first.ended && first.call == null) {
+            line.waiting.poll();
+            first = line.waiting.peek();
+        }
+        if (first == null || first.held || first.call != null) {
+            return;
+        }
+        if (line.restUntil > now && first.shots == 0) {
+            if (!resting.contains(line)) {
+                resting.add(line);
+            }
+            return;
+        }
+        hold(first, false);
+    }
+
+    /** The one place where an envelope gets its answer: a deferral promises that nothing ran or a repeat is known. */
+    private void finish(Envelope e, long pause) {
+        boolean harmless = e.doubtSince < 0 || mayRepeat(e) && !offerings[e.offering].oneZone()
+            || offerings[e.offering].kind() == Settings.Kind.REPEATABLE;
+        close(e);
+        if (harmless) {
+            out.defer(e.id, pause);
+        } else {
+            out.abort(e.id);
+        }
+        advance(e);
+    }
+
+    private void close(Envelope e) {
+        unhold(e);
+        if (!e.ended) {
+            e.ended = true;
+            open--;
+        }
+    }
+
+    private void advance(Envelope e) {
+        if (e.line != null && e.ended) {
+            if (e.line.waiting.peek() == e) {
+                step(e.line);
+            } else if (e.call == null) {
+                e.line.waiting.remove(e);
+            }
+        }
+    }
+
+    private boolean mayRepeat(Envelope e) {
+        Settings.Offering o = offerings[e.offering];
+        return switch (o.kind()) {
+            case REPEATABLE -> true;
+            case TAGGED -> e.doubtSince < 0 || now < e.doubtSince + o.memory();
+            case ONCE_ONLY -> e.doubtSince < 0;
+        };
+    }
+
+    public void withdrawn(int id) {
+        Envelope e = envelopes[id];
+        if (e != null && !e.ended) {
+            close(e);
+            advance(e);
+        }
+    }
+
+    // ---- Window --------------------------------------------------------------------------------------------
+
+    private int room(Destination d) {
+        int limit = Math.min(cap, Math.max(1, (int) d.window));
+        return (isSick(d) ? Math.min(limit, sickCap) : limit) - d.inFlight;
+    }
+
+    private void cut(Destination d, int stamp) {
+        if (stamp != d.generation) {
+            return;
+        }
+        d.window = Math.max(1, Math.min(d.window, cap) * CUT);
+        d.generation++;
+        d.sentUnder = 0;
+    }
+
+    private void tick() {
+        for (Destination d : known) {
+            double raise = d.window * (RAISE - 1);
+            if (d.filled && d.held > 0 && d.sentUnder >= raise && d.window < cap) {
+                d.window = Math.min(cap, d.window * RAISE);
+                d.generation++;
+                d.sentUnder = 0;
+            }
+            d.filled = false;
+            if (d.held == 0 && d.inFlight == 0 && now - d.lastUsed > IDLE) {
+                d.window = start;
+                d.generation++;
+                d.sentUnder = 0;
+            }
+            for (int i = 0; i < (d.shared != null ? Math.min(1, d.size) : d.size); i++) {
+                Route r = routeOf[d.endpoints[i]];
+                if (r.pressed && !r.refusedThisTick) {
+                    r.factor = Math.min(relays, r.factor * PACE_UP);
+                }
+                r.pressed = false;
+                r.refusedThisTick = false;
+            }
+        }
+    }
+
+    // ---- Pick ----------------------------------------------------------------------------------------------
+
+    private Destination[] destOf = new Destination[32];
+    private Route[] routeOf = new Route[32];
+    private int[] zoneOf = new int[32];
+    private int[] phase = new int[32];
+    private double[] lat = new double[32];
+    private double[] ill = new double[32];
+    private int[] badRun = new int[32];
+    private int[] calls = new int[32];
+    private long[] lastAnswer = new long[32];
+    private long[] sickSince = new long[32];
+    private boolean[] mayHaveRun = new boolean[32];
+    private long[] backSince = new long[32];
+    private long[] trialAt = new long[32];
+    private double[] budget = new double[32];
+    private long[] budgetAt = new long[32];
+    private int[] backCap = new int[32];
+    private double[] credit = new double[32];
+    private double[] turnOf = new double[32];
+    private long[] lastSend = new long[32];
+    private List<ArrayDeque<Call>> outAt = new ArrayList<>();
+    private int endpointCount;
+
+    private static final double USUAL_LAT = 0.5 * SECOND;
+
+    private int pick(Destination d, Envelope e) {
+        int best = -1;
+        double sum = 0;
+        for (int i = 0; i < d.size; i++) {
+            int at = d.endpoints[i];
+            if (!usable(at, e)) {
+                continue;
+            }
+            double weight = (1.05 - Math.min(1, ill[at])) / (lat[at] + 50 * MS);
+            sum += weight;
+            turnOf[at] += weight;
+            if (best < 0 || turnOf[at] > turnOf[best]) {
+                best = at;
+            }
+        }
+        if (best >= 0) {
+            turnOf[best] -= sum;
+        }
+        return best;
+    }
+
+    private boolean usable(int at, Envelope e) {
+        Settings.Offering o = offerings[e.offering];
+        Route r = routeOf[at];
+        if (phase[at] != UP || now < r.waitUntil || r.tokens < 1
+            || e.doubtSince >= 0 && o.oneZone() && zoneOf[at] != e.doubtZone
+            || e.to.bundle > 1 && lastSend[at] == turns) {
+            return false;
+        }
+        if (sickSince[at] >= 0) {
+            // A trial may be lost, so it is one whose loss can be mended, unless this trouble proves that none ran.
+            return now >= trialAt[at] && calls[at] == 0
+                && (o.kind() != Settings.Kind.ONCE_ONLY || !mayHaveRun[at]
+                || now - trialAt[at] > LONE_TRIAL);
+        }
+        if (backSince[at] >= 0 && (calls[at] >= backCap[at] || budget[at] < 1)) {
+            return false;
+        }
+        return e.shots == 0 || credit[at] >= 1;
+    }
+
+    private static final long LONE_TRIAL = 3 * SECOND;
+
+    // ---- Pace ----------------------------------------------------------------------------------------------
+
+    private static final double PACE_UP = 1.1;
+    private static final double PACE_DOWN = 0.85;
+    private static final double PACE_FLOOR = 0.5;
+    private static final double PACE_START = 1.3;
+
+    private double known(Route r) {
+        return r.told > 0 ? r.told : r.listed;
+    }
+
+    private void refill(Route r) {
+        double rate = known(r);
+        if (!(rate > 0)) {
+            r.tokens = 1;
+            return;
+        }
+        double mine = rate / relays * r.factor * PACE_START;
+        r.tokens = Math.min(Math.max(1, mine * 0.5), r.tokens + mine * (now - r.tokensAt) / SECOND);
+        r.tokensAt = now;
+    }
+
+    private void refused(Route r, Call call, long wait) {
+        r.refusedThisTick = true;
+        if (r.fulls++ == 0) {
+            r.firstFull = now;
+        }
+        if (call.generation == call.to.generation) {
+            r.factor = Math.max(PACE_FLOOR, r.factor * PACE_DOWN);
+        }
+        long pause = wait > 0 ? wait
+            : (long) (Math.min(2 * SECOND, 120 * MS << Math.min(4, r.fulls - 1)) * (0.75 + 0.5 * chance()));
+        r.waitUntil = Math.max(r.waitUntil, now + pause);
+    }
+
+    // ---- Health and return ---------------------------------------------------------------------------------
+
+    private boolean isSick(Destination d) {
+        for (int i = 0; i < d.size; i++) {
+            int at = d.endpoints[i];
+            if (phase[at] == UP && (sickSince[at] >= 0 || ill[at] > 0.3)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void learn(Call call, int outcome, long elapsed) {
+        int at = call.endpoint;
+        if (outcome == CANCELLED || outcome == MOOT) {
+            return;
+        }
+        if (outcome == FULFILLED || outcome == FULL) {
+            lastAnswer[at] = now;
+            credit[at] = Math.min(CREDIT_MOST, credit[at] + (outcome == FULL ? 1 : CREDIT_GAIN));
+        }
+        if (outcome == FULL) {
+            Route r = routeOf[at];
+            if (sickSince[at] >= 0) {
+                trialAt[at] = Math.max(r.waitUntil, now + trialGap(at));
+            } else if (r.waitUntil - r.firstFull > SHUT_AFTER) {
+                for (int i = 0; i < call.to.size; i++) {
+                    if (routeOf[call.to.endpoints[i]] == r) {
+                        sicken(call.to.endpoints[i], false);
+                    }
+                }
+            }
+            return;
+        }
+        if (outcome == FULFILLED) {
+            routeOf[at].fulls = 0;
+            badRun[at] = 0;
+            ill[at] *= 0.8;
+            lat[at] += 0.15 * (elapsed - lat[at]);
+            if (sickSince[at] >= 0) {
+                if (ill[at] < 0.15 && !mayHaveRun[at]) {
+                    sickSince[at] = -1;
+                } else {
+                    back(at);
+                }
+            } else if (backSince[at] >= 0) {
+                backCap[at]++;
+            }
+            return;
+        }
+        lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
+        badRun[at]++;
+        ill[at] += 0.2 * (1 - ill[at]);
+        if (outcome == TIMEOUT) {
+            lat[at] = Math.max(lat[at], Math.min(elapsed, 2 * lat[at]));
+        }
+        boolean ran = outcome != UNREACHED;
+        if (sickSince[at] >= 0) {
+            mayHaveRun[at] |= ran;
+            trialAt[at] = now + trialGap(at);
+        } else if (backSince[at] >= 0 || badRun[at] >= 2 || ill[at] > 0.5) {
+            sicken(at, ran);
+        }
+    }
+
+    private static final double CREDIT_MOST = 8;
+    private static final double CREDIT_GAIN = 0.5;
+    private static final long SHUT_AFTER = 2500 * MS;
+
+    private void sicken(int at, boolean ran) {
+        if (sickSince[at] >= 0) {
+            return;
+        }
+        sickSince[at] = now;
+        backSince[at] = -1;
+        mayHaveRun[at] = ran;
+        trialAt[at] = Math.max(routeOf[at].waitUntil, now + trialGap(at));
+    }
+
+    private void back(int at) {
+        sickSince[at] = -1;
+        backSince[at] = now;
+        backCap[at] = 1;
+        budget[at] = 0;
+        budgetAt[at] = now;
+        ill[at] = 0;
+        badRun[at] = 0;
+    }
+
+    /** What this relay may send a second to an endpoint that came back cold, as its part of all relays' load. */
+    private double ramp(int at, long since) {
+        Route r = routeOf[at];
+        double rate = r.told > 0 ? r.told : r.listed > 0 ? r.listed * rateDoubt : 2;
+        double warm = coldFrom + (1 - coldFrom) * Math.min(1, since / (double) coldFor);
+        return coldMultiple * warm * rate / relays / Math.max(1, r.members);
+    }
+
+    private long trialGap(int at) {
+        double gap = SECOND / Math.max(0.01, ramp(at, 0));
+        return (long) (Math.max(400 * MS, Math.min(2500 * MS, gap)) * (0.9 + 0.2 * chance()));
+    }
+
+    /** Silence is no outcome: shots out for far longer than answers take here say that none will come. */
+    private void listen() {
+        for (int at = 0; at < endpointCount; at++) {
+            if (backSince[at] >= 0) {
+                if (now - backSince[at] > coldFor) {
+                    backSince[at] = -1;
+                } else {
+                    double rate = ramp(at, now - backSince[at]);
+                    budget[at] = Math.min(Math.max(1, rate / 2),
+                        budget[at] + rate * (now - budgetAt[at]) / SECOND);
+                    budgetAt[at] = now;
+                }
+            }
+            if (calls[at] == 0 || sickSince[at] >= 0) {
+                continue;
+            }
+            ArrayDeque<Call> line = outAt.get(at);
+            while (line.peekFirst().left == 0) {
+                line.pollFirst();
+            }
+            long quiet = now - Math.max(line.peekFirst().sentAt, lastAnswer[at]);
+            if (quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
+                sicken(at, true);
+            }
+        }
+    }
+
+    // ---- Further shots -------------------------------------------------------------------------------------
+
+    private long patience(Envelope e, int at) {
+        // Giving up on a once-only shot gains nothing: the envelope may have run and could not go again.
+        if (offerings[e.offering].kind() == Settings.Kind.ONCE_ONLY) {
+            return 0;
+        }
+        long within = (long) Math.max(1500 * MS, 6 * lat[at]);
+        return now + within >= e.expiry ? 0 : within;
+    }
+
+    private void send(Envelope e, Call call) {
+        unhold(e);
+        int at = call.endpoint;
+        long within = patience(e, at);
+        if (e.shots > 0) {
+            credit[at] = Math.max(0, credit[at] - 1);
+        }
+        e.shots++;
+        e.call = call;
+        call.size++;
+        call.left++;
+        call.to.sentUnder++;
+        e.next = outcome -> afterShot(e, call, outcome);
+        out.send(e.id, at, within);
+    }
+
+    private void afterShot(Envelope e, Call call, int outcome) {
+        boolean neverRan = outcome == FULL || outcome == UNREACHED || outcome == MOOT;
+        Settings.Offering o = offerings[e.offering];
+        if (!neverRan && e.doubtSince < 0) {
+            e.doubtSince = call.sentAt;
+            e.doubtZone = zoneOf[call.endpoint];
+            if (o.kind() == Settings.Kind.TAGGED && e.doubtSince + o.memory() - GIVE_UP_AHEAD < e.giveUpAt) {
+                byGiveUp.remove(e);
+                e.giveUpAt = e.doubtSince + o.memory() - GIVE_UP_AHEAD;
+                byGiveUp.add(e);
+            }
+        }
+        if (!mayRepeat(e) || e.shots >= shotLimit || now >= e.giveUpAt) {
+            finish(e, 0);
+        } else {
+            hold(e, true);
+        }
+    }
+
+    // ---- Answers -------------------------------------------------------------------------------------------
+
+    public void settled(int id, boolean over, int shot, int endpoint, int outcome, long wait, long elapsed,
+                        double left, double limit) {
+        Envelope e = envelopes[id];
+        Call call = e == null ? null : e.call;
+        if (call == null) {
+            return;
+        }
+        e.call = null;
+        Destination d = call.to;
+        if (--call.left == 0) {
+            slotsOut--;
+            d.inFlight--;
+            calls[call.endpoint]--;
+        }
+        Route r = routeOf[call.endpoint];
+        if (limit > 0) {
+            r.told = Double.isNaN(r.told) ? limit : r.told + 0.2 * (limit - r.told);
+        }
+        if (outcome == FULL) {
+            if (!call.learnt) {
+                refused(r, call, wait);
+            } else if (wait > 0) {
+                r.waitUntil = Math.max(r.waitUntil, now + wait);
+            }
+            cut(d, call.generation);
+        }
+        if (!call.learnt) {
+            call.learnt = true;
+            learn(call, outcome, elapsed);
+        }
+        if (e.line != null && (outcome == TIMEOUT || outcome == BROKEN || outcome == CANCELLED)) {
+            e.line.restUntil = Math.max(e.line.restUntil, now + settle);
+        }
+        if (over || e.ended) {
+            close(e);
+            advance(e);
+        } else {
+            e.next.with(outcome);
+        }
+    }
+
+    public void probed(int endpoint, int outcome, long elapsed, double left, double limit) {
+        // No probe is sent yet; a stray result says nothing that an answer would not.
+    }
+
+    public void noted(int relay, byte[] text) {
+        // Relays are never needed for a rule, and notes may be lost: nothing hangs on them yet.
+    }
+
+    // ---- List ----------------------------------------------------------------------------------------------
+
+    private boolean listWhole;
+    private boolean[] listNamed = new boolean[32];
+    private long askAt = NEVER;
+    private long askBackoff;
+
+    private void askList() {
+        out.list(true);
+        askBackoff = askBackoff == 0 ? askAgain : Math.min(4 * askAgain, askBackoff * 2);
+        askAt = now + Math.max(3 * SECOND, askBackoff);
+    }
+
+    public void listBegins(boolean whole, boolean cached) {
+        listWhole = whole;
+        if (!cached) {
+            askAt = NEVER;
+            askBackoff = 0;
+        }
+        Arrays.fill(listNamed, false);
+    }
+
+    public void listed(int at, int zone, int kind, int destination, int phaseNow, double rate, long since) {
+        if (at >= destOf.length) {
+            grow(at * 2);
+        }
+        listNamed[at] = true;
+        Destination d = destination(destination);
+        boolean isApart = kind < apart.length && apart[kind];
+        if (destOf[at] == null) {
+            while (outAt.size() <= at) {
+                outAt.add(new ArrayDeque<>());
+            }
+            endpointCount = Math.max(endpointCount, at + 1);
+            destOf[at] = d;
+            lat[at] = USUAL_LAT;
+            credit[at] = 3;
+            sickSince[at] = -1;
+            backSince[at] = -1;
+            lastSend[at] = -1;
+            phase[at] = 2;
+            if (d.size == d.endpoints.length) {
+                d.endpoints = Arrays.copyOf(d.endpoints, d.size * 2);
+            }
+            d.endpoints[d.size++] = at;
+            d.bundle = kind < bundles.length ? Math.max(1, bundles[kind]) : 1;
+            if (!isApart && d.shared == null) {
+                d.shared = new Route();
+            }
+            routeOf[at] = isApart ? new Route() : d.shared;
+            routeOf[at].tokensAt = now;
+        }
+        zoneOf[at] = zone;
+        if (ratesListed) {
+            routeOf[at].listed = rate;
+        }
+        turnPhase(at, phaseNow);
+    }
+
+    private void turnPhase(int at, int phaseNow) {
+        if ((phase[at] == UP) != (phaseNow == UP)) {
+            routeOf[at].members += phaseNow == UP ? 1 : -1;
+        }
+        phase[at] = phaseNow;
+    }
+
+    public void listEnds() {
+        for (int at = 0; listWhole && at < endpointCount; at++) {
+            if (!listNamed[at] && destOf[at] != null) {
+                turnPhase(at, 2);
+            }
+        }
+    }
+
+    public void listFailed() {
+        // The notice doesn't say whether the watch still stands, so it is asked for again, ever more slowly.
+        askBackoff = askBackoff == 0 ? askAgain : Math.min(4 * askAgain, askBackoff * 2);
+        askAt = Math.min(askAt, now + (long) (askBackoff * (0.5 + chance())));
+    }
+
+    private void grow(int size) {
+        destOf = Arrays.copyOf(destOf, size);
+        routeOf = Arrays.copyOf(routeOf, size);
+        zoneOf = Arrays.copyOf(zoneOf, size);
+        phase = Arrays.copyOf(phase, size);
+        lat = Arrays.copyOf(lat, size);
+        ill = Arrays.copyOf(ill, size);
+        badRun = Arrays.copyOf(badRun, size);
+        calls = Arrays.copyOf(calls, size);
+        lastAnswer = Arrays.copyOf(lastAnswer, size);
+        sickSince = Arrays.copyOf(sickSince, size);
+        mayHaveRun = Arrays.copyOf(mayHaveRun, size);
+        backSince = Arrays.copyOf(backSince, size);
+        trialAt = Arrays.copyOf(trialAt, size);
+        budget = Arrays.copyOf(budget, size);
+        budgetAt = Arrays.copyOf(budgetAt, size);
+        backCap = Arrays.copyOf(backCap, size);
+        credit = Arrays.copyOf(credit, size);
+        turnOf = Arrays.copyOf(turnOf, size);
+        lastSend = Arrays.copyOf(lastSend, size);
+        listNamed = Arrays.copyOf(listNamed, size);
+    }
+
+    // ---- The turn ------------------------------------------------------------------------------------------
+
+    public void due() {
+        alarmAt = NEVER;
+    }
+
+    /** Closes a round: what time alone decides, then whatever may go out goes. */
+    public void turn() {
+        turns++;
+        if (now >= askAt) {
+            askList();
+        }
+        listen();
+        while (!byGiveUp.isEmpty() && (byGiveUp.peek().ended || byGiveUp.peek().giveUpAt <= now)) {
+            Envelope e = byGiveUp.poll();
+            if (!e.ended && e.call == null) {
+                finish(e, 0);
+            }
+        }
+        for (int i = resting.size() - 1; i >= 0; i--) {
+            if (resting.get(i).restUntil <= now) {
+                step(resting.remove(i));
+            }
+        }
+        if (now >= tickAt) {
+            tick();
+            tickAt = now + TICK;
+        }
+        dispatch();
+        long wake = Math.min(tickAt, now + (open > 0 ? 20 * MS : TICK));
+        if (alarmAt > wake) {
+            alarmAt = wake;
+            out.alarm(wake - now);
+        }
+    }
+
+    private void dispatch() {
+        boolean sent = true;
+        for (int round = 0; sent; round++) {
+            sent = false;
+            for (int i = 0; i < known.size(); i++) {
+                Destination d = known.get((int) ((turns + i) % known.size()));
+                if (d.held > 0 && offer(d, round == 0)) {
+                    sent = true;
+                }
+            }
+        }
+    }
+
+    private boolean offer(Destination d, boolean first) {
+        if (d.size == 0) {
+            return false;
+        }
+        long typical = (long) USUAL_LAT;
+        boolean pressed = true;
+        for (int i = 0; i < d.size; i++) {
+            typical = Math.min(typical, (long) lat[d.endpoints[i]]);
+            if (first) {
+                refill(routeOf[d.endpoints[i]]);
+            }
+        }
+        if (room(d) <= 0) {
+            d.filled = true;
+            return false;
+        }
+        if (slotsOut >= slots) {
+            return false;
+        }
+        sortLate(d, typical);
+        int at = -1;
+        Call call = null;
+        for (Envelope e = next(d, typical, at); e != null; e = next(d, typical, at)) {
+            if (call == null) {
+                at = chosen;
+                call = new Call();
+                call.endpoint = at;
+                call.to = d;
+                call.generation = d.generation;
+                call.sentAt = now;
+                slotsOut++;
+                d.inFlight++;
+                d.lastUsed = now;
+                calls[at]++;
+                outAt.get(at).addLast(call);
+                charge(at, 1);
+                if (room(d) <= 0) {
+                    d.filled = true;
+                }
+            } else {
+                charge(at, ITEM_COST);
+            }
+            send(e, call);
+            if (call.size >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
+                break;
+            }
+        }
+        if (call == null) {
+            for (int i = 0; i < d.size; i++) {
+                routeOf[d.endpoints[i]].pressed |= routeOf[d.endpoints[i]].tokens < 1;
+            }
+            return false;
+        }
+        lastSend[at] = turns;
+        return true;
+    }
+
+    private static final double ITEM_COST = 0.1;
+    private int chosen;
+
+    private void charge(int at, double cost) {
+        routeOf[at].tokens -= cost;
+        if (backSince[at] >= 0) {
+            budget[at] -= cost;
+        }
+        if (sickSince[at] >= 0) {
+            trialAt[at] = now + trialGap(at);
+        }
+    }
+
+    /** The held envelope to go next: the one a delay costs most among those that some endpoint may have. */
+    private Envelope next(Destination d, long typical, int joined) {
+        Envelope best = null;
+        double most = -1;
+        Route r = routeOf[d.endpoints[0]];
+        double rate = known(r) > 0 ? known(r) / relays : 2;
+        long horizon = (long) Math.max(250 * MS, Math.min(8 * SECOND, d.held / rate * SECOND));
+        long tried = 0;
+        while (true) {
+            best = null;
+            most = -1;
+            int from = -1;
+            for (int i = 0; i < 2 * offerings.length; i++) {
+                Envelope e = (tried >> i & 1) != 0 ? null
+                    : i % 2 == 0 ? head(d.fresh.get(i / 2)) : tail(d.late.get(i / 2));
+                if (e != null) {
+                    double gain = urgency(e, typical, horizon);
+                    if (gain > most) {
+                        most = gain;
+                        best = e;
+                        from = i;
+                    }
+                }
+            }
+            if (best == null) {
+                return null;
+            }
+            int at = joined < 0 ? pick(d, best)
+                : joinable(joined, best) ? joined : -1;
+            if (at >= 0) {
+                chosen = at;
+                return best;
+            }
+            tried |= 1L << from;
+        }
+    }
+
+    private boolean joinable(int at, Envelope e) {
+        return !(e.doubtSince >= 0 && offerings[e.offering].oneZone() && zoneOf[at] != e.doubtZone)
+            && (e.shots == 0 || credit[at] >= 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewpath/wirehost/Boot.java
@@ -0,0 +1,124 @@
+package yewpath.wirehost;
+
+import java.util.HashMap;
+import java.util.Map;
+import yewpath.Settings;
+
+/** The settings line of a new instance; keys it does not know are skipped, absent ones read as off. */
+final class Boot {
+    final Settings settings = new Settings();
+    final Names zones = new Names();
+    final Names kinds = new Names();
+    final Names offerings = new Names();
+    final Names tenants = new Names();
+    int leftColumn = -1;
+    int limitColumn = -1;
+    private final Map<String, String> pairs = new HashMap<>();
+
+    Boot(String[] fields, int first) {
+        for (int i = first; i < fields.length; i++) {
+            int equals = fields[i].indexOf('=');
+            if (equals <= 0) {
+                throw new Malformed("a setting without a value: " + fields[i]);
+            }
+            pairs.put(fields[i].substring(0, equals), fields[i].substring(equals + 1));
+        }
+        Settings s = settings;
+        s.relays = (int) number("balancers");
+        s.self = (int) number("ordinal");
+        s.slots = (int) number("family_info.max_calls");
+        s.holdLimit = (int) number("limits.max_open");
+        s.shotLimit = (int) number("limits.try_limit");
+        s.mayProbe = yes("limits.probes");
+        s.mayNote = yes("limits.peers");
+        s.mayCancel = yes("limits.cancel");
+        s.listAsked = "on_request".equals(pairs.get("discovery"));
+        s.rateIsRough = "rough".equals(pairs.get("weights"));
+        s.listTellsRate = s.rateIsRough || "nominal".equals(pairs.get("weights"));
+        s.halving = "by_half".equals(pairs.get("family_info.late"));
+        s.overShare = number("over_share_worth");
+        s.tellsPause = yes("limits.retry_after");
+        s.pauseLimit = micros("limits.max_retry_after_ms");
+        s.refusalPrice = number("family_info.turned_away_price");
+        s.answerSlack = micros("rules.answer_slack_ms");
+        s.askEvery = micros("rules.ask_every_ms");
+        s.coldFrom = number("rules.cold_from");
+        s.coldFor = micros("rules.cold_ms");
+        s.fallMultiple = number("rules.fall_multiple");
+        s.fallFor = micros("rules.fall_ms");
+        s.settleAfterDoubt = micros("rules.settle_after_doubt_ms");
+        s.connectionIdle = micros("limits.conn_idle_ms");
+        for (String zone : list("zones")) {
+            zones.of(zone);
+        }
+        String[] kindNames = list("kinds");
+        String[] apart = list("family_info.routes_apart");
+        String[] bundle = list("family_info.bundle_max");
+        s.routesApart = new boolean[kindNames.length];
+        s.bundle = new int[kindNames.length];
+        for (int i = 0; i < kindNames.length; i++) {
+            kinds.of(kindNames[i]);
+            s.routesApart[i] = i < apart.length && isYes(apart[i]);
+            s.bundle[i] = i < bundle.length ? (int) parse(bundle[i]) : 1;
+        }
+        s.offerings = new Settings.Offering[(int) number("request_classes.count")];
+        for (int i = 0; i < s.offerings.length; i++) {
+            String at = "request_classes." + i + ".";
+            offerings.of(pairs.getOrDefault(at + "name", "#" + i));
+            s.offerings[i] = new Settings.Offering(number(at + "worth"), number(at + "late_worth"),
+                micros(at + "on_time_ms"), micros(at + "give_up_ms"), kind(pairs.get(at + "repeat")),
+                "zone".equals(pairs.get(at + "group")), micros(at + "dedup_window_ms"), yes(at + "fifo_by_key"));
+        }
+        s.tenants = new Settings.Tenant[(int) number("tenants.count")];
+        for (int i = 0; i < s.tenants.length; i++) {
+            String at = "tenants." + i + ".";
+            tenants.of(pairs.getOrDefault(at + "name", "#" + i));
+            s.tenants[i] = new Settings.Tenant(number(at + "quota_per_s"), number(at + "portion"));
+        }
+        String[] report = list("load_report.fields");
+        for (int i = 0; i < report.length; i++) {
+            if (report[i].equals("x0")) {
+                leftColumn = i;
+            } else if (report[i].equals("x1")) {
+                limitColumn = i;
+            }
+        }
+    }
+
+    private static Settings.Kind kind(String word) {
+        if ("pure".equals(word)) {
+            return Settings.Kind.REPEATABLE;
+        }
+        return "token".equals(word) ? Settings.Kind.TAGGED : Settings.Kind.ONCE_ONLY;
+    }
+
+    private String[] list(String path) {
+        String value = pairs.getOrDefault(path, "");
+        return value.isEmpty() || value.equals("-") ? new String[0] : value.split(",");
+    }
+
+    private boolean yes(String path) {
+        return isYes(pairs.getOrDefault(path, ""));
+    }
+
+    private static boolean isYes(String value) {
+        return value.equals("true") || value.equals("1");
+    }
+
+    private double number(String path) {
+        String value = pairs.get(path);
+        return value == null || value.isEmpty() || value.equals("-") ? 0 : parse(value);
+    }
+
+    private static double parse(String value) {
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new Malformed("not a number: " + value);
+        }
+    }
+
+    private long micros(String path) {
+        return Math.round(number(path) * 1000);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewpath/wirehost/Instance.java
@@ -0,0 +1,182 @@
+package yewpath.wirehost;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Base64;
+import yewpath.Egress;
+import yewpath.Logic;
+import yewpath.Settings;
+
+/** One relay on the wire: its Logic, its id tables and the actions it has asked for in this round. */
+final class Instance implements Egress {
+    private record IdleKey(int key, long since, int use) { }
+
+    final Logic logic;
+    final Names envelopes = new Names();
+    final Names endpoints = new Names();
+    final Names destinations = new Names();
+    private final Names keys = new Names();
+    private final Names zones;
+    private final Names kinds;
+    final Names offerings;
+    final Names tenants;
+    final int leftColumn;
+    final int limitColumn;
+    private final StringBuilder actions = new StringBuilder();
+    private final long keyRest;
+    private final ArrayDeque<IdleKey> idleKeys = new ArrayDeque<>();
+    private int[] keyOf = new int[64];
+    private int[] shotsOut = new int[64];
+    private boolean[] over = new boolean[64];
+    private int[] keyHolders = new int[16];
+    private int[] keyUses = new int[16];
+    private long now;
+
+    Instance(Boot boot, long seed, long now) {
+        Settings settings = boot.settings;
+        zones = boot.zones;
+        kinds = boot.kinds;
+        offerings = boot.offerings;
+        tenants = boot.tenants;
+        leftColumn = boot.leftColumn;
+        limitColumn = boot.limitColumn;
+        keyRest = settings.settleAfterDoubt;
+        this.now = now;
+        logic = new Logic(settings, seed, this, now);
+    }
+
+    void at(long clock) {
+        now = clock;
+        logic.at(clock);
+    }
+
+    int zone(String name) {
+        return zones.of(name);
+    }
+
+    int kind(String name) {
+        return kinds.of(name);
+    }
+
+    int take(String id, String key) {
+        int envelope = envelopes.of(id);
+        if (envelope >= keyOf.length) {
+            keyOf = Arrays.copyOf(keyOf, envelope * 2);
+            shotsOut = Arrays.copyOf(shotsOut, envelope * 2);
+            over = Arrays.copyOf(over, envelope * 2);
+        }
+        shotsOut[envelope] = 0;
+        over[envelope] = false;
+        keyOf[envelope] = key == null ? -1 : holdKey(key);
+        return envelope;
+    }
+
+    int keyOf(int envelope) {
+        return keyOf[envelope];
+    }
+
+    private int holdKey(String name) {
+        // A key outlives its last envelope by the rest it may owe, so that its index is not another's meanwhile.
+        while (!idleKeys.isEmpty() && idleKeys.peek().since + 2 * keyRest < now) {
+            IdleKey idle = idleKeys.poll();
+            if (keyHolders[idle.key] == 0 && keyUses[idle.key] == idle.use) {
+                keys.letGo(idle.key);
+            }
+        }
+        int key = keys.of(name);
+        if (key >= keyHolders.length) {
+            keyHolders = Arrays.copyOf(keyHolders, key * 2);
+            keyUses = Arrays.copyOf(keyUses, key * 2);
+        }
+        keyHolders[key]++;
+        keyUses[key]++;
+        return key;
+    }
+
+    void ended(int envelope) {
+        over[envelope] = true;
+        release(envelope);
+    }
+
+    void shotBack(int envelope) {
+        shotsOut[envelope]--;
+        release(envelope);
+    }
+
+    private void release(int envelope) {
+        if (!over[envelope] || shotsOut[envelope] > 0 || envelopes.name(envelope) == null) {
+            return;
+        }
+        int key = keyOf[envelope];
+        if (key >= 0 && --keyHolders[key] == 0) {
+            idleKeys.add(new IdleKey(key, now, keyUses[key]));
+        }
+        envelopes.letGo(envelope);
+    }
+
+    boolean isOver(int envelope) {
+        return over[envelope];
+    }
+
+    void drain(int who, StringBuilder reply) {
+        if (actions.length() > 0) {
+            reply.append("SPEAKING\t").append(who).append('\n').append(actions);
+            actions.setLength(0);
+        }
+    }
+
+    private StringBuilder millis(long micros) {
+        actions.append(micros / 1000).append('.');
+        long rest = Math.abs(micros % 1000);
+        return actions.append((char) ('0' + rest / 100)).append((char) ('0' + rest / 10 % 10))
+            .append((char) ('0' + rest % 10));
+    }
+
+    @Override
+    public void send(int envelope, int endpoint, long withinMicros) {
+        shotsOut[envelope]++;
+        actions.append("SEND\t").append(envelopes.name(envelope)).append('\t')
+            .append(endpoints.name(endpoint)).append('\t');
+        millis(withinMicros).append('\n');
+    }
+
+    @Override
+    public void defer(int envelope, long pauseMicros) {
+        actions.append("DECLINE\t").append(envelopes.name(envelope)).append('\t');
+        millis(pauseMicros).append('\n');
+        ended(envelope);
+    }
+
+    @Override
+    public void abort(int envelope) {
+        actions.append("REPORT_FAILURE\t").append(envelopes.name(envelope)).append('\n');
+        ended(envelope);
+    }
+
+    @Override
+    public void cancel(int envelope, int shot) {
+        actions.append("ABORT_ATTEMPT\t").append(envelopes.name(envelope)).append('\t').append(shot).append('\n');
+    }
+
+    @Override
+    public void probe(int endpoint) {
+        actions.append("ASK_LOAD\t").append(endpoints.name(endpoint)).append('\n');
+    }
+
+    @Override
+    public void alarm(long inMicros) {
+        actions.append("SET_ALARM\tturn\t");
+        millis(inMicros).append('\n');
+    }
+
+    @Override
+    public void list(boolean follow) {
+        actions.append(follow ? "KEEP_INFORMED\t1\n" : "GET_LIST\n");
+    }
+
+    @Override
+    public void note(int relay, byte[] text) {
+        actions.append("POST\t").append(relay).append('\t')
+            .append(text.length == 0 ? "-" : Base64.getEncoder().encodeToString(text)).append('\n');
+    }
+}
--- /dev/null
+++ b/src/test/java/yewpath/ScenarioTest.java
@@ -0,0 +1,282 @@
+package yewpath;
+
+import static org.testng.Assert.fail;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Plays the scenario files; their notation is in src/test/resources/scenarios/README.md. */
+public final class ScenarioTest {
+    private static final Path FOLDER = Path.of("src/test/resources/scenarios");
+    private static final List<String> OUTCOMES = List.of("fulfilled", "error", "full", "timeout", "unreached",
+        "broken", "cancelled", "moot");
+
+    @DataProvider
+    public Object[][] scenarios() throws IOException {
+        try (Stream<Path> files = Files.list(FOLDER)) {
+            return files.filter(f -> f.toString().endsWith(".txt")).sorted().map(f -> new Object[] {f})
+                .toArray(Object[][]::new);
+        }
+    }
+
+    @Test(dataProvider = "scenarios")
+    public void plays(Path file) throws IOException {
+        List<String> lines = Files.readAllLines(file);
+        Player player = new Player();
+        for (int i = 0; i < lines.size(); i++) {
+            String line = lines.get(i).replaceFirst("#.*", "").strip();
+            try {
+                if (!line.isEmpty()) {
+                    player.play(line.split("\\s+"));
+                }
+            } catch (RuntimeException | AssertionError e) {
+                fail(file + ":" + (i + 1) + ": " + line + ": " + e.getMessage() + "; done so far " + player.acts, e);
+            }
+        }
+        if (player.checks == 0) {
+            fail(file + " checks nothing");
+        }
+    }
+
+    @Test(expectedExceptions = IllegalArgumentException.class)
+    public void refusesAnUnknownWord() {
+        new Player().play(new String[] {"offring", "a"});
+    }
+
+    private static final class Player implements Egress {
+        final Settings settings = new Settings();
+        final List<String> acts = new ArrayList<>();
+        private final List<String> offerings = new ArrayList<>();
+        private final List<String> kinds = new ArrayList<>();
+        private final Map<String, Integer> endpoints = new HashMap<>();
+        private final Map<String, Integer> destinations = new HashMap<>();
+        private final Map<String, Integer> keys = new HashMap<>();
+        private final Map<Integer, String> endpointNames = new HashMap<>();
+        private final Map<Integer, Integer> shots = new HashMap<>();
+        private final Map<Integer, Integer> shotAt = new HashMap<>();
+        private final Map<Integer, Long> sentAt = new HashMap<>();
+        private final TreeSet<Long> alarms = new TreeSet<>();
+        private Logic logic;
+        private long now;
+        private long seed = 1;
+        int checks;
+
+        Player() {
+            settings.relays = 1;
+            settings.slots = 8;
+            settings.holdLimit = 200;
+            settings.shotLimit = 6;
+            settings.coldFrom = 0.2;
+            settings.coldFor = 10_000_000;
+            settings.fallMultiple = 2;
+            settings.fallFor = 2_000_000;
+            settings.listTellsRate = true;
+        }
+
+        void play(String[] w) {
+            Map<String, String> named = new HashMap<>();
+            for (String word : w) {
+                int equals = word.indexOf('=');
+                if (equals > 0) {
+                    named.put(word.substring(0, equals), word.substring(equals + 1));
+                }
+            }
+            switch (w[0]) {
+                case "relay" -> relay(named);
+                case "offering" -> offering(w, named);
+                case "kind" -> kind(w);
+                case "expect", "never" -> {
+                    checks++;
+                    String act = String.join(" ", List.of(w).subList(1, w.length));
+                    boolean seen = acts.stream().anyMatch(a -> a.equals(act) || a.startsWith(act + " "));
+                    if (seen != w[0].equals("expect")) {
+                        throw new AssertionError(seen ? "happened" : "did not happen");
+                    }
+                }
+                case "count", "most", "least" -> {
+                    checks++;
+                    String act = String.join(" ", List.of(w).subList(2, w.length));
+                    long n = acts.stream().filter(a -> a.equals(act) || a.startsWith(act + " ")).count();
+                    long wanted = Long.parseLong(w[1]);
+                    if (w[0].equals("most") ? n > wanted : w[0].equals("least") ? n < wanted : n != wanted) {
+                        throw new AssertionError("happened " + n + " times");
+                    }
+                }
+                case "mark" -> acts.clear();
+                default -> event(w, named);
+            }
+        }
+
+        private void relay(Map<String, String> named) {
+            named.forEach((key, value) -> {
+                switch (key) {
+                    case "relays" -> settings.relays = Integer.parseInt(value);
+                    case "slots" -> settings.slots = Integer.parseInt(value);
+                    case "hold" -> settings.holdLimit = Integer.parseInt(value);
+                    case "shots" -> settings.shotLimit = Integer.parseInt(value);
+                    case "rates" -> {
+                        settings.listTellsRate = !value.equals("none");
+                        settings.rateIsRough = value.equals("rough");
+                    }
+                    case "list" -> settings.listAsked = value.equals("asked");
+                    case "late" -> settings.halving = value.equals("halving");
+                    case "settle" -> settings.settleAfterDoubt = ms(value);
+                    case "probes" -> settings.mayProbe = value.equals("yes");
+                    case "cancels" -> settings.mayCancel = value.equals("yes");
+                    case "seed" -> seed = Long.parseLong(value);
+                    default -> throw new IllegalArgumentException("unknown figure " + key);
+                }
+            });
+        }
+
+        private void offering(String[] w, Map<String, String> named) {
+            offerings.add(w[1]);
+            Settings.Kind kind = Settings.Kind.valueOf(w[2].toUpperCase().replace('-', '_'));
+            Settings.Offering[] all = java.util.Arrays.copyOf(settings.offerings, offerings.size());
+            all[all.length - 1] = new Settings.Offering(Double.parseDouble(named.getOrDefault("revenue", "1")),
+                Double.parseDouble(named.getOrDefault("late", "0.1")), ms(named.getOrDefault("agreed", "1000")),
+                ms(named.getOrDefault("expiry", "8000")), kind, List.of(w).contains("zone"),
+                ms(named.getOrDefault("memory", "5000")), List.of(w).contains("ordered"));
+            settings.offerings = all;
+        }
+
+        private void kind(String[] w) {
+            kinds.add(w[1]);
+            settings.routesApart = java.util.Arrays.copyOf(settings.routesApart, kinds.size());
+            settings.bundle = java.util.Arrays.copyOf(settings.bundle, kinds.size());
+            settings.routesApart[kinds.size() - 1] = List.of(w).contains("apart");
+            settings.bundle[kinds.size() - 1] = List.of(w).contains("bundled") ? 20 : 1;
+        }
+
+        private void event(String[] w, Map<String, String> named) {
+            if (!w[0].matches("\\d+")) {
+                throw new IllegalArgumentException("unknown word " + w[0]);
+            }
+            if (logic == null) {
+                logic = new Logic(settings, seed, this, 0);
+            }
+            reach(ms(w[0]));
+            if (w.length > 1) {
+                one(w, named);
+            }
+            logic.turn();
+        }
+
+        private void reach(long to) {
+            while (!alarms.isEmpty() && alarms.first() <= to) {
+                now = alarms.pollFirst();
+                logic.at(now);
+                logic.due();
+                logic.turn();
+            }
+            now = to;
+            logic.at(now);
+        }
+
+        private void one(String[] w, Map<String, String> named) {
+            if (OUTCOMES.contains(w[1])) {
+                for (int id = first(w[2]); id <= last(w[2]); id++) {
+                    int outcome = OUTCOMES.indexOf(w[1]);
+                    logic.settled(id, outcome == 0, shots.getOrDefault(id, 1) - 1, shotAt.getOrDefault(id, 0), outcome,
+                        ms(named.getOrDefault("wait", "0")), now - sentAt.getOrDefault(id, 0L),
+                        Double.parseDouble(named.getOrDefault("left", "NaN")),
+                        Double.parseDouble(named.getOrDefault("limit", "NaN")));
+                }
+                return;
+            }
+            switch (w[1]) {
+                case "take" -> {
+                    int offering = offerings.indexOf(w[3]);
+                    String key = named.get("key");
+                    for (int id = first(w[2]); id <= last(w[2]); id++) {
+                        logic.taken(id, offering, -1, key == null ? -1 : keys.computeIfAbsent(key, k -> keys.size()),
+                            destinations.computeIfAbsent(w[4], d -> destinations.size()),
+                            now + settings.offerings[offering].expiry(), false);
+                    }
+                }
+                case "withdrawn" -> logic.withdrawn(first(w[2]));
+                case "list" -> {
+                    if (w[2].equals("failed")) {
+                        logic.listFailed();
+                        return;
+                    }
+                    logic.listBegins(!w[2].equals("delta"), w[2].equals("cached"));
+                    for (int i = 3; i < w.length; i++) {
+                        String[] f = w[i].split(":");
+                        int at = endpoints.computeIfAbsent(f[0], e -> endpoints.size());
+                        endpointNames.put(at, f[0]);
+                        logic.listed(at, f.length > 5 ? Integer.parseInt(f[5]) : 0, Math.max(0, kinds.indexOf(f[2])),
+                            destinations.computeIfAbsent(f[1], d -> destinations.size()),
+                            List.of("up", "draining", "gone").indexOf(f[3]), Double.parseDouble(f[4]), 0);
+                    }
+                    logic.listEnds();
+                }
+                default -> throw new IllegalArgumentException("unknown event " + w[1]);
+            }
+        }
+
+        private static int first(String ids) {
+            return Integer.parseInt(ids.split("-")[0]);
+        }
+
+        private static int last(String ids) {
+            return ids.contains("-") ? Integer.parseInt(ids.split("-")[1]) : first(ids);
+        }
+
+        private static long ms(String value) {
+            return Math.round(Double.parseDouble(value) * 1000);
+        }
+
+        @Override
+        public void send(int envelope, int endpoint, long withinMicros) {
+            shots.merge(envelope, 1, Integer::sum);
+            shotAt.put(envelope, endpoint);
+            sentAt.put(envelope, now);
+            acts.add("send " + envelope + " " + endpointNames.get(endpoint) + " @" + now / 1000);
+        }
+
+        @Override
+        public void defer(int envelope, long pauseMicros) {
+            acts.add("defer " + envelope + " pause=" + pauseMicros / 1000);
+        }
+
+        @Override
+        public void abort(int envelope) {
+            acts.add("abort " + envelope);
+        }
+
+        @Override
+        public void cancel(int envelope, int shot) {
+            acts.add("cancel " + envelope + " " + shot);
+        }
+
+        @Override
+        public void probe(int endpoint) {
+            acts.add("probe " + endpointNames.get(endpoint));
+        }
+
+        @Override
+        public void alarm(long inMicros) {
+            alarms.add(now + inMicros);
+        }
+
+        @Override
+        public void list(boolean follow) {
+            acts.add(follow ? "follow" : "fetch");
+        }
+
+        @Override
+        public void note(int relay, byte[] text) {
+            acts.add("note " + relay);
+        }
+    }
+}
