--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -452,6 +452,9 @@
     private int[] badRun = new int[32];
     private int[] calls = new int[32];
     private long[] lastAnswer = new long[32];
+    private long[] lastGood = new long[32];
+    private int[] callCap = new int[32];
+    private long[] crowdedAt = new long[32];
     private long[] sickSince = new long[32];
     private boolean[] mayHaveRun = new boolean[32];
     private long[] backSince = new long[32];
@@ -491,7 +494,7 @@
     private boolean usable(int at, Envelope e) {
         Settings.Offering o = offerings[e.offering];
         Route r = routeOf[at];
-        if (phase[at] != UP || now < r.waitUntil || r.tokens < 1
+        if (phase[at] != UP || calls[at] >= callCap[at] || now < crowdedAt[at] + CROWDED_PAUSE || now < r.waitUntil || r.tokens < 1
             || e.doubtSince >= 0 && o.oneZone() && zoneOf[at] != e.doubtZone
             || e.to.bundle > 1 && lastSend[at] == turns) {
             return false;
@@ -508,6 +511,7 @@
         return e.shots == 0 || credit[at] >= 1;
     }
 
+    private static final long CROWDED_PAUSE = 100 * MS;
     private static final long LONE_TRIAL = 3 * SECOND;
 
     // ---- Pace ----------------------------------------------------------------------------------------------
@@ -581,6 +585,11 @@
         }
         if (outcome == FULFILLED) {
             routeOf[at].fulls = 0;
+            lastGood[at] = now;
+            if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
+                callCap[at]++;
+                crowdedAt[at] = now;
+            }
             badRun[at] = 0;
             ill[at] *= 0.8;
             lat[at] += 0.15 * (elapsed - lat[at]);
@@ -597,19 +606,31 @@
         }
         lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
         badRun[at]++;
-        ill[at] += 0.2 * (1 - ill[at]);
         if (outcome == TIMEOUT) {
             lat[at] = Math.max(lat[at], Math.min(elapsed, 2 * lat[at]));
         }
         boolean ran = outcome != UNREACHED;
+        if (!ran && sickSince[at] < 0 && now - lastGood[at] < CROWDED_WITHIN) {
+            // Guards against reading a full connection table as an outage: answers still come, so it is up, and
+            // as many calls as are out now is what it has room for. Wrong only in an outage's first moment.
+            callCap[at] = Math.max(1, Math.min(callCap[at], calls[at]));
+            crowdedAt[at] = now;
+            badRun[at]--;
+            return;
+        }
+        ill[at] += 0.2 * (1 - ill[at]);
         if (sickSince[at] >= 0) {
             mayHaveRun[at] |= ran;
             trialAt[at] = now + trialGap(at);
-        } else if (backSince[at] >= 0 || badRun[at] >= 2 || ill[at] > 0.5) {
+        } else if (ill[at] > (backSince[at] >= 0 ? 0.3 : 0.5) || !ran && (backSince[at] >= 0 || badRun[at] >= 2)) {
+            // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for one
+            // costs more than it loses. An endpoint just back is doubted sooner.
             sicken(at, ran);
         }
     }
 
+    private static final long CROWDED_WITHIN = 1500 * MS;
+    private static final int NO_CAP = 1 << 20;
     private static final double CREDIT_MOST = 8;
     private static final double CREDIT_GAIN = 0.5;
     private static final long SHUT_AFTER = 2500 * MS;
@@ -810,6 +831,9 @@
             credit[at] = 3;
             sickSince[at] = -1;
             backSince[at] = -1;
+            callCap[at] = NO_CAP;
+            lastGood[at] = -NEVER;
+            crowdedAt[at] = -NEVER;
             lastSend[at] = -1;
             phase[at] = 2;
             if (d.size == d.endpoints.length) {
@@ -861,6 +885,9 @@
         badRun = Arrays.copyOf(badRun, size);
         calls = Arrays.copyOf(calls, size);
         lastAnswer = Arrays.copyOf(lastAnswer, size);
+        lastGood = Arrays.copyOf(lastGood, size);
+        callCap = Arrays.copyOf(callCap, size);
+        crowdedAt = Arrays.copyOf(crowdedAt, size);
         sickSince = Arrays.copyOf(sickSince, size);
         mayHaveRun = Arrays.copyOf(mayHaveRun, size);
         backSince = Arrays.copyOf(backSince, size);
