Pace is raised by answers while envelopes wait for it, not by time

Told from an outage by the refusals being quick and answers going on. Cause: a raise of the pace each second, while a relay of a large fleet sends a call each two or three, so raises outran cuts. Change: 3% an answer, cut 15% a refusal.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -62,7 +62,7 @@
         double listed = Double.NaN, told = Double.NaN, factor = 1, tokens = 1;
         long waitUntil, firstFull, tokensAt;
         int fulls, members;
-        boolean pressed, refusedThisTick;
+        boolean pressed;
     }
 
     private final class Destination {
@@ -386,11 +386,7 @@
             }
             for (int i = 0; i < (d.shared != null ? min(1, d.size) : d.size); i++) {
                 Route r = routeOf[d.endpoints[i]];
-                if (r.pressed && !r.refusedThisTick) {
-                    r.factor = min(relays, r.factor * PACE_UP);
-                }
                 r.pressed = false;
-                r.refusedThisTick = false;
             }
         }
     }
@@ -460,7 +456,7 @@
 
     // ---- Pace
 
-    private static final double PACE_UP = 1.1, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
+    private static final double PACE_UP = 1.03, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
 
     private double known(Route r) {
         return r.told > 0 ? r.told : r.listed;
@@ -478,7 +474,6 @@
     }
 
     private void refused(Route r, Call call, long wait) {
-        r.refusedThisTick = true;
         if (r.fulls++ == 0) {
             r.firstFull = now;
         }
@@ -525,7 +520,10 @@
             return;
         }
         if (outcome == FULFILLED) {
-            routeOf[at].fulls = 0;
+            Route r = routeOf[at];
+            r.fulls = 0;
+            // Raised by answers, not by time: where many relays each send little, a raise a tick outran the cuts.
+            r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
             lastGood[at] = now;
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
