--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -456,7 +456,7 @@
 
     // ---- Pace
 
-    private static final double PACE_UP = 1.03, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
+    private static final double PACE_UP = 1.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
 
     private double known(Route r) {
         return r.told > 0 ? r.told : r.listed;
