A lone lost answer is no silence; stuck shots at well endpoints are called off too

Told from an outage by the other answers, which go on at their usual pace. Cause: a relay with one call out at an endpoint read its missing answer as silence and ramped for it. Change: silence takes two calls without answer, or one after a failure; a time-out lifts the expected time only in a run; old shots at well endpoints may be called off too when slots run short. It finds a real silence one call later where traffic is thin.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -545,7 +545,7 @@
         }
         lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
         badRun[at]++;
-        if (outcome == TIMEOUT) {
+        if (outcome == TIMEOUT && badRun[at] > 1) {
             lat[at] = max(lat[at], min(elapsed, 2 * lat[at]));
         }
         boolean ran = outcome != UNREACHED;
@@ -625,8 +625,9 @@
             while (line.peekFirst().left == 0) {
                 line.pollFirst();
             }
+            // One answer may be lost anywhere; silence is two that stay away, or one after a failure.
             long quiet = now - max(line.peekFirst().sentAt, lastAnswer[at]);
-            if (quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
+            if (calls[at] + badRun[at] > 1 && quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
                 sicken(at, true);
             }
         }
@@ -672,11 +673,9 @@
             othersWait |= d.held > 0 && !isSick(d) && room(d) > 0;
         }
         for (int at = 0; mayCancel && othersWait && wanted > 0 && at < endpointCount; at++) {
-            if (sickSince[at] < 0) {
-                continue;
-            }
-            for (Call call : outAt.get(at)) {
-                if (wanted > 0 && call.left > 0 && now - call.sentAt > max(HOPELESS, 4 * lat[at])) {
+            double hopeless = sickSince[at] >= 0 ? max(HOPELESS, 4 * lat[at]) : max(2 * HOPELESS, 8 * lat[at]);
+            for (Call call : calls[at] > 0 ? outAt.get(at) : NO_CALLS) {
+                if (wanted > 0 && call.left > 0 && now - call.sentAt > hopeless) {
                     wanted--;
                     for (Envelope e : call.calledOff ? List.<Envelope>of() : call.carried) {
                         if (e.call == call) {
@@ -689,6 +688,7 @@
         }
     }
 
+    private static final ArrayDeque<Call> NO_CALLS = new ArrayDeque<>();
     private static final long HOPELESS = 1500 * MS;
 
     private void afterShot(Envelope e, Call call, int outcome) {
