Silence counts from the second call that stays away; outlying times are clipped

Cause on the lost-answer incidents: with one answer lost long ago, the next call sent was counted as the second witness at once, and one answer after 25 s lifted the expected time by seconds. Change: the second oldest call out must itself be overdue (the oldest after two failures in a row), and a time counts four times the expected one at most.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -531,7 +531,7 @@
             }
             badRun[at] = 0;
             ill[at] *= 0.8;
-            lat[at] += 0.15 * (elapsed - lat[at]);
+            lat[at] += 0.15 * (min(elapsed, 4 * lat[at]) - lat[at]);
             if (sickSince[at] >= 0) {
                 if (ill[at] < 0.15 && !mayHaveRun[at]) {
                     sickSince[at] = -1;
@@ -625,9 +625,16 @@
             while (line.peekFirst().left == 0) {
                 line.pollFirst();
             }
-            // One answer may be lost anywhere; silence is two that stay away, or one after a failure.
-            long quiet = now - max(line.peekFirst().sentAt, lastAnswer[at]);
-            if (calls[at] + badRun[at] > 1 && quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
+            // One answer may be lost anywhere; silence is two that stay away long, or one after two failures.
+            int needed = badRun[at] > 1 ? 1 : 2;
+            long quiet = 0;
+            for (Call call : line) {
+                if (call.left > 0 && --needed == 0) {
+                    quiet = now - max(call.sentAt, lastAnswer[at]);
+                    break;
+                }
+            }
+            if (quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
                 sicken(at, true);
             }
         }
