Time-outs are short while answers are seen to be lost one by one

A lost answer shows as one time-out between answers at the usual pace; a stalled or queueing endpoint as a run of them or slow answers after. It could harm where one offering is slow amid quick others, for those are sent twice.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -398,8 +398,9 @@
     private int[] zoneOf = new int[32];
     private int[] phase = new int[32];
     private double[] lat = new double[32], ill = new double[32], credit = new double[32];
-    private double[] turnOf = new double[32], budget = new double[32];
-    private int[] badRun = new int[32], calls = new int[32], callCap = new int[32], backCap = new int[32];
+    private double[] turnOf = new double[32], budget = new double[32], spread = new double[32];
+    private int[] lastBad = new int[32], badRun = new int[32], calls = new int[32];
+    private int[] callCap = new int[32], backCap = new int[32];
     private boolean[] mayHaveRun = new boolean[32];
     private long[] lastAnswer = new long[32], lastGood = new long[32], lastSend = new long[32];
     private long[] sickSince = new long[32], backSince = new long[32], trialAt = new long[32];
@@ -440,7 +441,7 @@
             return false;
         }
         if (sickSince[at] >= 0) {
-            // A trial may be lost: it is one whose loss can be mended, unless the trouble proves that none ran.
+            // A trial may be lost: it is one that can be mended, unless the trouble proves that none ran.
             return now >= trialAt[at] && calls[at] == 0
                 && (o.kind() != Settings.Kind.ONCE_ONLY || !mayHaveRun[at]
                 || now - trialAt[at] > LONE_TRIAL);
@@ -451,8 +452,9 @@
         return e.shots == 0 || credit[at] >= 1;
     }
 
-    private static final long CROWDED_PAUSE = 100 * MS;
-    private static final long LONE_TRIAL = 3 * SECOND;
+    private static final long CROWDED_PAUSE = 100 * MS, LONE_TRIAL = 3 * SECOND;
+    private static final double LOSSY = 0.04;
+    private double lost;
 
     // ---- Pace
 
@@ -522,16 +524,20 @@
         if (outcome == FULFILLED) {
             Route r = routeOf[at];
             r.fulls = 0;
-            // Raised by answers, not by time: where many relays each send little, a raise a tick outran the cuts.
+            // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
             lastGood[at] = now;
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
                 crowdedAt[at] = now;
             }
+            boolean alone = badRun[at] == 1 && lastBad[at] == TIMEOUT && elapsed < 2 * lat[at];
+            lost += 0.03 * ((alone ? 1 : 0) - lost);
             badRun[at] = 0;
             ill[at] *= 0.8;
-            lat[at] += 0.15 * (min(elapsed, 4 * lat[at]) - lat[at]);
+            double off = min(elapsed, 4 * lat[at]) - lat[at];
+            lat[at] += 0.15 * off;
+            spread[at] += 0.15 * (Math.abs(off) - spread[at]);
             if (sickSince[at] >= 0) {
                 if (ill[at] < 0.15 && !mayHaveRun[at]) {
                     sickSince[at] = -1;
@@ -545,6 +551,7 @@
         }
         lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
         badRun[at]++;
+        lastBad[at] = outcome;
         if (outcome == TIMEOUT && badRun[at] > 1) {
             lat[at] = max(lat[at], min(elapsed, 2 * lat[at]));
         }
@@ -647,7 +654,10 @@
         if (offerings[e.offering].kind() == Settings.Kind.ONCE_ONLY) {
             return 0;
         }
-        long within = (long) max(1500 * MS, 6 * lat[at]);
+        // Answers lost one by one, with others at their usual pace around them, won't come; but where whole
+        // endpoints stall or queue, a short time-out only adds to their work.
+        long within = (long) (lost > LOSSY ? max(600 * MS, lat[at] + 4 * spread[at])
+            : max(1500 * MS, 6 * lat[at]));
         return now + within >= e.expiry ? 0 : within;
     }
 
@@ -680,7 +690,8 @@
             othersWait |= d.held > 0 && !isSick(d) && room(d) > 0;
         }
         for (int at = 0; mayCancel && othersWait && wanted > 0 && at < endpointCount; at++) {
-            double hopeless = sickSince[at] >= 0 ? max(HOPELESS, 4 * lat[at]) : max(2 * HOPELESS, 8 * lat[at]);
+            double hopeless = sickSince[at] >= 0 ? max(HOPELESS, 4 * lat[at])
+                : max(2 * HOPELESS, 8 * lat[at]);
             for (Call call : calls[at] > 0 ? outAt.get(at) : NO_CALLS) {
                 if (wanted > 0 && call.left > 0 && now - call.sentAt > hopeless) {
                     wanted--;
@@ -804,6 +815,7 @@
             endpointCount = max(endpointCount, at + 1);
             destOf[at] = d;
             lat[at] = USUAL_LAT;
+            spread[at] = USUAL_LAT / 2;
             credit[at] = 3;
             sickSince[at] = -1;
             backSince[at] = -1;
@@ -852,6 +864,7 @@
     }
 
     private void grow(int size) {
+        spread = copyOf(spread, size); lastBad = copyOf(lastBad, size);
         destOf = copyOf(destOf, size); routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size);
         phase = copyOf(phase, size); lat = copyOf(lat, size); ill = copyOf(ill, size);
         badRun = copyOf(badRun, size); calls = copyOf(calls, size); lastAnswer = copyOf(lastAnswer, size);
@@ -906,17 +919,12 @@
             sent = false;
             for (int i = 0; i < known.size(); i++) {
                 Destination d = known.get((int) ((turns + i) % known.size()));
-                if (d.held > 0 && offer(d, round == 0)) {
-                    sent = true;
-                }
+                sent |= d.held > 0 && d.size > 0 && offer(d, round == 0);
             }
         }
     }
 
     private boolean offer(Destination d, boolean first) {
-        if (d.size == 0) {
-            return false;
-        }
         long typical = (long) USUAL_LAT;
         for (int i = 0; i < d.size; i++) {
             typical = min(typical, (long) lat[d.endpoints[i]]);
@@ -924,11 +932,8 @@
                 refill(routeOf[d.endpoints[i]]);
             }
         }
-        if (room(d) <= 0) {
-            d.filled = true;
-            return false;
-        }
-        if (slotsOut >= slots) {
+        d.filled |= room(d) <= 0;
+        if (room(d) <= 0 || slotsOut >= slots) {
             return false;
         }
         sortLate(d, typical);
@@ -948,11 +953,9 @@
                 calls[at]++;
                 outAt.get(at).addLast(call);
                 charge(at, 1);
-                if (room(d) <= 0) {
-                    d.filled = true;
-                }
+                d.filled |= room(d) <= 0;
             } else {
-                charge(at, ITEM_COST);
+                charge(at, 0.1);
             }
             send(e, call);
             if (call.size >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
@@ -969,7 +972,6 @@
         return true;
     }
 
-    private static final double ITEM_COST = 0.1;
     private int chosen;
 
     private void charge(int at, double cost) {
--- a/src/test/java/yewpath/ScenarioTest.java
+++ b/src/test/java/yewpath/ScenarioTest.java
@@ -241,7 +241,8 @@
             shots.merge(envelope, 1, Integer::sum);
             shotAt.put(envelope, endpoint);
             sentAt.put(envelope, now);
-            acts.add("send " + envelope + " " + endpointNames.get(endpoint) + " @" + now / 1000);
+            acts.add("send " + envelope + " " + endpointNames.get(endpoint) + " within=" + withinMicros / 100_000 / 10.0
+                + " @" + now / 1000);
         }
 
         @Override
