Return ramp at 0.85 of the budget, starting with one send

Cause on big fleets: at 0.6 of the budget an endpoint doubted for a moment stayed closed for seconds to a relay that sends it one call in three.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -125,7 +125,7 @@
         rateDoubt = s.rateIsRough ? 1 / 1.5 : 1;
         coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
         coldFor = s.coldFor > 0 ? s.coldFor : 15 * SECOND;
-        coldMultiple = 0.6 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
+        coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
         settle = s.settleAfterDoubt;
         listAsked = s.listAsked;
         mayCancel = s.mayCancel;
@@ -593,7 +593,7 @@
         sickSince[at] = -1;
         backSince[at] = now;
         backCap[at] = 1;
-        budget[at] = 0;
+        budget[at] = 1;
         budgetAt[at] = now;
         ill[at] = 0;
         badRun[at] = 0;
