--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -466,8 +466,11 @@
 
     private void refill(Route r) {
         double rate = known(r);
-        if (!(rate > 0)) {
+        if (!(rate > 0) || r.told == 0) {
+            // A destination that says it has no limit is left to the window: an even part of a guessed rate
+            // kept envelopes waiting wherever many relays send little each.
             r.tokens = 1;
+            r.tokensAt = now;
             return;
         }
         double mine = rate / relays * r.factor * PACE_START;
@@ -745,8 +748,8 @@
             calls[call.endpoint]--;
         }
         Route r = routeOf[call.endpoint];
-        if (limit > 0) {
-            r.told = Double.isNaN(r.told) ? limit : r.told + 0.2 * (limit - r.told);
+        if (limit >= 0) {
+            r.told = !(r.told > 0) || limit == 0 ? limit : r.told + 0.2 * (limit - r.told);
         }
         if (outcome == FULL) {
             if (!call.learnt) {
