Four failed connects in a row, spaced out, before an outage is read

Each failure in a row is tried a little later than the last (60 ms doubling); an outage is seen half a second later.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -435,7 +435,7 @@
         Settings.Offering o = offerings[e.offering];
         Route r = routeOf[at];
         if (phase[at] != UP || now < r.waitUntil || r.tokens < 1
-            || calls[at] >= callCap[at] || now < crowdedAt[at] + CROWDED_PAUSE
+            || calls[at] >= callCap[at] || now < crowdedAt[at]
             || e.doubtSince >= 0 && o.oneZone() && zoneOf[at] != e.doubtZone
             || e.to.bundle > 1 && lastSend[at] == turns) {
             return false;
@@ -452,7 +452,7 @@
         return e.shots == 0 || credit[at] >= 1;
     }
 
-    private static final long CROWDED_PAUSE = 100 * MS, LONE_TRIAL = 3 * SECOND;
+    private static final long CROWDED_PAUSE = 60 * MS, LONE_TRIAL = 3 * SECOND;
     private static final double LOSSY = 0.04;
     private double lost;
 
@@ -469,7 +469,7 @@
         if (!(rate > 0) || r.told == 0) {
             // A destination that says it has no limit is left to the window: an even part of a guessed rate
             // kept envelopes waiting wherever many relays send little each.
-            r.tokens = 1;
+            r.tokens = slots;
             r.tokensAt = now;
             return;
         }
@@ -559,19 +559,18 @@
             lat[at] = max(lat[at], min(elapsed, 2 * lat[at]));
         }
         boolean ran = outcome != UNREACHED;
-        if (!ran && sickSince[at] < 0 && now - lastGood[at] < CROWDED_WITHIN) {
-            // Guards against reading a full connection table as an outage: answers still come, so it is up,
-            // and has room for as many calls as are out now. Wrong only in an outage's first moment.
+        if (!ran && sickSince[at] < 0 && backSince[at] < 0 && badRun[at] < CROWDED_RUN) {
+            // Guards against reading a full connection table as an outage: some connects still succeed there, so
+            // it takes a run of failures, each tried a little later than the last. An outage is seen that later.
             callCap[at] = max(1, min(callCap[at], calls[at]));
-            crowdedAt[at] = now;
-            badRun[at]--;
+            crowdedAt[at] = now + (CROWDED_PAUSE << badRun[at]);
             return;
         }
         ill[at] += 0.2 * (1 - ill[at]);
         if (sickSince[at] >= 0) {
             mayHaveRun[at] |= ran;
             trialAt[at] = now + trialGap(at);
-        } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran : ill[at] > 0.5 || !ran && badRun[at] >= 2) {
+        } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
             // one costs more than it loses. An endpoint just back is doubted sooner.
             sicken(at, ran);
@@ -579,8 +578,8 @@
     }
 
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5;
-    private static final long CROWDED_WITHIN = 1500 * MS, SHUT_AFTER = 2500 * MS;
-    private static final int NO_CAP = 1 << 20;
+    private static final long SHUT_AFTER = 2500 * MS;
+    private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4;
 
     private void sicken(int at, boolean ran) {
         if (sickSince[at] >= 0) {
