--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -560,8 +560,8 @@
         }
         boolean ran = outcome != UNREACHED;
         if (!ran && sickSince[at] < 0 && backSince[at] < 0 && badRun[at] < CROWDED_RUN) {
-            // Guards against reading a full connection table as an outage: some connects still succeed there, so
-            // it takes a run of failures, each tried a little later than the last. An outage is seen that later.
+            // Guards against reading a full connection table as an outage: some connects still succeed, so
+            // it takes a run of failures, each tried a bit later than the last. An outage is seen that later.
             callCap[at] = max(1, min(callCap[at], calls[at]));
             crowdedAt[at] = now + (CROWDED_PAUSE << badRun[at]);
             return;
