--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -521,6 +521,10 @@
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
             lastGood[at] = now;
+            if (calls[at] == 0 && now - crowdedAt[at] < CROWDED_FOR) {
+                // Idle connections keep other relays out of a table that was full, as theirs do to this one.
+                out.close(at);
+            }
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
                 crowdedAt[at] = now;
@@ -570,7 +574,7 @@
     }
 
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5;
-    private static final long SHUT_AFTER = 2500 * MS;
+    private static final long CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
     private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4;
 
     private void sicken(int at, boolean ran) {
@@ -945,7 +949,7 @@
                 d.lastUsed = now;
                 calls[at]++;
                 if (now < renewUntil) {
-                    // Guards against connections that died while idle, unseen from here: a call on one is lost.
+                    // Guards against connections that died while idle, unseen here: a call on one is lost.
                     out.close(at);
                 }
                 outAt.get(at).addLast(call);
