Trials and first sends at what returns shrink with the number of relays

Change: trials are spaced by this relay's even part (2.5 s at most for up to six relay-endpoint pairs, longer for more), begin at a random moment after a told wait, and the first budget is a part of a send where the part is small. It makes a large fleet see a return later.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -104,7 +104,7 @@
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
     private final boolean halving, ratesListed, listAsked, mayCancel;
     private final double start, rateDoubt, coldFrom, coldMultiple;
-    private final long coldFor, settle, askAgain;
+    private final long coldFor, fallFor, settle, askAgain;
 
     public Logic(Settings s, long seed, Egress out, long now) {
         this.out = out;
@@ -126,6 +126,7 @@
         coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
         coldFor = s.coldFor > 0 ? s.coldFor : 15 * SECOND;
         coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
+        fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
         listAsked = s.listAsked;
         mayCancel = s.mayCancel;
@@ -284,9 +285,8 @@
     /** One envelope of a key at a time, in the order taken; after a shot that may still run the key rests. */
     private void step(KeyLine line) {
         Envelope first = line.waiting.peek();
-        while (first != null && first.ended && first.call == null) {
+        for (; first != null && first.ended && first.call == null; first = line.waiting.peek()) {
             line.waiting.poll();
-            first = line.waiting.peek();
         }
         if (first == null || first.held || first.call != null) {
             return;
@@ -505,7 +505,7 @@
         if (outcome == FULL) {
             Route r = routeOf[at];
             if (sickSince[at] >= 0) {
-                trialAt[at] = max(r.waitUntil, now + trialGap(at));
+                trialAt[at] = trialAfter(at);
             } else if (r.waitUntil - r.firstFull > SHUT_AFTER) {
                 for (int i = 0; i < call.to.size; i++) {
                     if (routeOf[call.to.endpoints[i]] == r) {
@@ -584,14 +584,14 @@
         sickSince[at] = now;
         backSince[at] = -1;
         mayHaveRun[at] = ran;
-        trialAt[at] = max(routeOf[at].waitUntil, now + trialGap(at));
+        trialAt[at] = trialAfter(at);
     }
 
     private void back(int at) {
         sickSince[at] = -1;
         backSince[at] = now;
         backCap[at] = 1;
-        budget[at] = 1;
+        budget[at] = min(1, 2 * ramp(at, 0) * fallFor / SECOND);
         budgetAt[at] = now;
         ill[at] = 0;
         badRun[at] = 0;
@@ -607,7 +607,15 @@
 
     private long trialGap(int at) {
         double gap = SECOND / max(0.01, ramp(at, 0));
-        return (long) (max(400 * MS, min(2500 * MS, gap)) * (0.9 + 0.2 * chance()));
+        // Many relays' trials add up: at their even part a call each 2.5 s would push over what returns.
+        double most = 2500 * MS * max(1, relays * routeOf[at].members / 6.0);
+        return (long) (max(400 * MS, min(most, gap)) * (0.9 + 0.2 * chance()));
+    }
+
+    /** Guards against all relays that were told the same end of a wait sending their trials at that moment. */
+    private long trialAfter(int at) {
+        long gap = trialGap(at);
+        return max(now + gap, routeOf[at].waitUntil + (long) (chance() * max(0, gap - 2 * SECOND)));
     }
 
     /** Silence is no outcome: shots out for far longer than answers take here say that none will come. */
@@ -769,13 +777,10 @@
         }
     }
 
-    public void probed(int endpoint, int outcome, long elapsed, double left, double limit) {
-        // No probe is sent yet.
-    }
+    /** No probe or note is sent yet, and what answers tell is enough: nothing hangs on either. */
+    public void probed(int endpoint, int outcome, long elapsed, double left, double limit) { }
 
-    public void noted(int relay, byte[] text) {
-        // Notes may be lost; nothing hangs on them yet.
-    }
+    public void noted(int relay, byte[] text) { }
 
     // ---- List
 
@@ -1007,12 +1012,8 @@
                     }
                 }
             }
-            if (best == null) {
-                return null;
-            }
-            int at = joined < 0 ? pick(d, best) : joinable(joined, best) ? joined : -1;
-            if (at >= 0) {
-                chosen = at;
+            chosen = best == null ? -1 : joined < 0 ? pick(d, best) : joinable(joined, best) ? joined : -1;
+            if (best == null || chosen >= 0) {
                 return best;
             }
             tried |= 1L << from;
