--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -612,7 +612,7 @@
         return (long) (max(400 * MS, min(most, gap)) * (0.9 + 0.2 * chance()));
     }
 
-    /** Guards against all relays that were told the same end of a wait sending their trials at that moment. */
+    /** Guards against all relays told the same end of a wait sending their trials at that moment. */
     private long trialAfter(int at) {
         long gap = trialGap(at);
         return max(now + gap, routeOf[at].waitUntil + (long) (chance() * max(0, gap - 2 * SECOND)));
