Bundled envelopes cost the pace nothing beyond their call

A bundle is one call for the limit, and the pace stands for the limit. Expected more envelopes a call where bundles form. It could harm where the extra work of a bundle fills a destination that has little capacity over its limit.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -958,10 +958,8 @@
                     out.close(at);
                 }
                 outAt.get(at).addLast(call);
-                charge(at, 1);
+                charge(at);
                 d.filled |= room(d) <= 0;
-            } else {
-                charge(at, 0.1);
             }
             send(e, call);
             if (call.size >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
@@ -980,10 +978,10 @@
 
     private int chosen;
 
-    private void charge(int at, double cost) {
-        routeOf[at].tokens -= cost;
+    private void charge(int at) {
+        routeOf[at].tokens--;
         if (backSince[at] >= 0) {
-            budget[at] -= cost;
+            budget[at]--;
         }
         if (sickSince[at] >= 0) {
             trialAt[at] = now + trialGap(at);
