Logic read over: dead state out, one way to move a window, one check of zone and credit

Out: the last good answer's time, the destination kept an endpoint, a tenant and a list setting that nothing read. The window's three changes share one step, the shot that opens a call and the one that joins it share their checks, and calls are looked through for calling off only when slots run short.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -35,7 +35,7 @@
     }
 
     private static final class Envelope {
-        int id, offering, tenant, shots, doubtZone;
+        int id, offering, shots, doubtZone;
         long agreedAt, expiry, giveUpAt, doubtSince = -1;
         boolean ended, held;
         Destination to;
@@ -102,7 +102,7 @@
     private final boolean[] apart;
     private final int[] bundles;
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
-    private final boolean halving, ratesListed, listAsked, mayCancel;
+    private final boolean halving, ratesListed, mayCancel;
     private final double start, rateDoubt, coldFrom, coldMultiple;
     private final long coldFor, fallFor, settle, askAgain;
 
@@ -128,11 +128,10 @@
         coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
         fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
-        listAsked = s.listAsked;
         mayCancel = s.mayCancel;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
         tickAt = now + TICK;
-        if (listAsked) {
+        if (s.listAsked) {
             askList();
         }
     }
@@ -164,7 +163,6 @@
         Settings.Offering o = offerings[offering];
         e.id = id;
         e.offering = offering;
-        e.tenant = tenant;
         e.expiry = expiry;
         e.agreedAt = expiry - o.expiry() + o.agreed();
         e.to = destination(destination);
@@ -355,7 +353,11 @@
         if (stamp != d.generation) {
             return;
         }
-        d.window = max(1, min(d.window, cap) * CUT);
+        move(d, max(1, min(d.window, cap) * CUT));
+    }
+
+    private void move(Destination d, double window) {
+        d.window = window;
         d.generation++;
         d.sentUnder = 0;
     }
@@ -364,25 +366,20 @@
         for (Destination d : known) {
             double raise = d.window * (RAISE - 1);
             if (d.filled && d.held > 0 && d.sentUnder >= raise && d.window < cap) {
-                d.window = min(cap, d.window * RAISE);
-                d.generation++;
-                d.sentUnder = 0;
+                move(d, min(cap, d.window * RAISE));
             }
             d.filled = false;
             for (int i = 0; i < d.size; i++) {
                 routeOf[d.endpoints[i]].pressed = false;
             }
             if (d.held == 0 && d.inFlight == 0 && now - d.lastUsed > IDLE) {
-                d.window = start;
-                d.generation++;
-                d.sentUnder = 0;
+                move(d, start);
             }
         }
     }
 
     // ---- Pick
 
-    private Destination[] destOf = new Destination[32];
     private Route[] routeOf = new Route[32];
     private int[] zoneOf = new int[32];
     private int[] phase = new int[32];
@@ -391,7 +388,7 @@
     private int[] lastBad = new int[32], badRun = new int[32], calls = new int[32];
     private int[] callCap = new int[32], backCap = new int[32];
     private boolean[] mayHaveRun = new boolean[32];
-    private long[] lastAnswer = new long[32], lastGood = new long[32], lastSend = new long[32];
+    private long[] lastAnswer = new long[32], lastSend = new long[32];
     private long[] sickSince = new long[32], backSince = new long[32], trialAt = new long[32];
     private long[] budgetAt = new long[32], crowdedAt = new long[32];
     private List<ArrayDeque<Call>> outAt = new ArrayList<>();
@@ -425,7 +422,7 @@
         Route r = routeOf[at];
         if (phase[at] != UP || now < r.waitUntil || r.tokens < 1
             || calls[at] >= callCap[at] || now < crowdedAt[at]
-            || e.doubtSince >= 0 && o.oneZone() && zoneOf[at] != e.doubtZone
+            || !knowsRepeat(at, e)
             || e.to.bundle > 1 && lastSend[at] == turns) {
             return false;
         }
@@ -438,25 +435,29 @@
         if (backSince[at] >= 0 && (calls[at] >= backCap[at] || budget[at] < 1)) {
             return false;
         }
+        return trusted(at, e);
+    }
+
+    private boolean knowsRepeat(int at, Envelope e) {
+        return e.doubtSince < 0 || !offerings[e.offering].oneZone() || zoneOf[at] == e.doubtZone;
+    }
+
+    private boolean trusted(int at, Envelope e) {
         return e.shots == 0 || credit[at] >= 1;
     }
 
     private static final long CROWDED_PAUSE = 60 * MS, LONE_TRIAL = 3 * SECOND;
-    private static final double LOSSY = 0.04;
-    private static final long RENEW_FOR = 30 * SECOND;
-    private double lost;
-    private long renewUntil;
 
     // ---- Pace
 
     private static final double PACE_UP = 1.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
 
-    private double known(Route r) {
+    private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
     }
 
     private void refill(Route r) {
-        double rate = known(r);
+        double rate = rateOf(r);
         if (!(rate > 0) || r.told == 0) {
             // A destination that says it has no limit is left to the window: an even part of a guessed rate
             // kept envelopes waiting wherever many relays send little each.
@@ -520,7 +521,6 @@
             r.fulls = 0;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
-            lastGood[at] = now;
             if (calls[at] == 0 && now - crowdedAt[at] < CROWDED_FOR) {
                 // Idle connections keep other relays out of a table that was full, as theirs do to this one.
                 out.close(at);
@@ -573,7 +573,10 @@
         }
     }
 
-    private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5;
+    private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04;
+    private static final long RENEW_FOR = 30 * SECOND;
+    private double lost;
+    private long renewUntil;
     private static final long CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
     private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4;
 
@@ -691,11 +694,14 @@
      */
     private void callOff() {
         int wanted = max(1, slots / 4) - (slots - slotsOut);
+        if (wanted <= 0 || !mayCancel) {
+            return;
+        }
         boolean othersWait = false;
         for (Destination d : known) {
             othersWait |= d.held > 0 && !isSick(d) && room(d) > 0;
         }
-        for (int at = 0; mayCancel && othersWait && wanted > 0 && at < endpointCount; at++) {
+        for (int at = 0; othersWait && wanted > 0 && at < endpointCount; at++) {
             double hopeless = sickSince[at] >= 0 ? max(HOPELESS, 4 * lat[at])
                 : max(2 * HOPELESS, 8 * lat[at]);
             for (Call call : calls[at] > 0 ? outAt.get(at) : NO_CALLS) {
@@ -804,25 +810,23 @@
     }
 
     public void listed(int at, int zone, int kind, int destination, int phaseNow, double rate, long since) {
-        if (at >= destOf.length) {
+        if (at >= routeOf.length) {
             grow(at * 2);
         }
         listNamed[at] = true;
         Destination d = destination(destination);
         boolean isApart = kind < apart.length && apart[kind];
-        if (destOf[at] == null) {
+        if (routeOf[at] == null) {
             while (outAt.size() <= at) {
                 outAt.add(new ArrayDeque<>());
             }
             endpointCount = max(endpointCount, at + 1);
-            destOf[at] = d;
             lat[at] = USUAL_LAT;
             spread[at] = USUAL_LAT / 2;
             credit[at] = 3;
             sickSince[at] = -1;
             backSince[at] = -1;
             callCap[at] = NO_CAP;
-            lastGood[at] = -NEVER;
             crowdedAt[at] = -NEVER;
             lastSend[at] = -1;
             phase[at] = 2;
@@ -853,7 +857,7 @@
 
     public void listEnds() {
         for (int at = 0; listWhole && at < endpointCount; at++) {
-            if (!listNamed[at] && destOf[at] != null) {
+            if (!listNamed[at] && routeOf[at] != null) {
                 turnPhase(at, 2);
             }
         }
@@ -867,10 +871,10 @@
 
     private void grow(int size) {
         spread = copyOf(spread, size); lastBad = copyOf(lastBad, size);
-        destOf = copyOf(destOf, size); routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size);
+        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size);
         phase = copyOf(phase, size); lat = copyOf(lat, size); ill = copyOf(ill, size);
         badRun = copyOf(badRun, size); calls = copyOf(calls, size); lastAnswer = copyOf(lastAnswer, size);
-        lastGood = copyOf(lastGood, size); callCap = copyOf(callCap, size);
+        callCap = copyOf(callCap, size);
         crowdedAt = copyOf(crowdedAt, size); sickSince = copyOf(sickSince, size);
         mayHaveRun = copyOf(mayHaveRun, size); backSince = copyOf(backSince, size);
         trialAt = copyOf(trialAt, size); budget = copyOf(budget, size); budgetAt = copyOf(budgetAt, size);
@@ -934,8 +938,9 @@
                 refill(routeOf[d.endpoints[i]]);
             }
         }
-        d.filled |= room(d) <= 0;
-        if (room(d) <= 0 || slotsOut >= slots) {
+        boolean full = room(d) <= 0;
+        d.filled |= full;
+        if (full || slotsOut >= slots) {
             return false;
         }
         sortLate(d, typical);
@@ -944,22 +949,7 @@
         for (Envelope e = next(d, typical, at); e != null; e = next(d, typical, at)) {
             if (call == null) {
                 at = chosen;
-                call = new Call();
-                call.endpoint = at;
-                call.to = d;
-                call.generation = d.generation;
-                call.sentAt = now;
-                slotsOut++;
-                d.inFlight++;
-                d.lastUsed = now;
-                calls[at]++;
-                if (now < renewUntil) {
-                    // Guards against connections that died while idle, unseen here: a call on one is lost.
-                    out.close(at);
-                }
-                outAt.get(at).addLast(call);
-                charge(at);
-                d.filled |= room(d) <= 0;
+                call = begin(d, at);
             }
             send(e, call);
             if (call.size >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
@@ -978,6 +968,26 @@
 
     private int chosen;
 
+    private Call begin(Destination d, int at) {
+        Call call = new Call();
+        call.endpoint = at;
+        call.to = d;
+        call.generation = d.generation;
+        call.sentAt = now;
+        slotsOut++;
+        d.inFlight++;
+        d.lastUsed = now;
+        calls[at]++;
+        outAt.get(at).addLast(call);
+        charge(at);
+        d.filled |= room(d) <= 0;
+        if (now < renewUntil) {
+            // Guards against connections that died while idle, unseen here: a call on one is lost.
+            out.close(at);
+        }
+        return call;
+    }
+
     private void charge(int at) {
         routeOf[at].tokens--;
         if (backSince[at] >= 0) {
@@ -991,7 +1001,7 @@
     /** The held envelope to go next: the one a delay costs most among those that some endpoint may have. */
     private Envelope next(Destination d, long typical, int joined) {
         Route r = routeOf[d.endpoints[0]];
-        double rate = known(r) > 0 ? known(r) / relays : 2;
+        double rate = rateOf(r) > 0 ? rateOf(r) / relays : 2;
         long horizon = (long) max(250 * MS, min(8 * SECOND, d.held / rate * SECOND));
         long tried = 0;
         while (true) {
@@ -1010,16 +1020,12 @@
                     }
                 }
             }
-            chosen = best == null ? -1 : joined < 0 ? pick(d, best) : joinable(joined, best) ? joined : -1;
+            chosen = best == null ? -1 : joined < 0 ? pick(d, best)
+                : knowsRepeat(joined, best) && trusted(joined, best) ? joined : -1;
             if (best == null || chosen >= 0) {
                 return best;
             }
             tried |= 1L << from;
         }
     }
-
-    private boolean joinable(int at, Envelope e) {
-        return !(e.doubtSince >= 0 && offerings[e.offering].oneZone() && zoneOf[at] != e.doubtZone)
-            && (e.shots == 0 || credit[at] >= 1);
-    }
 }
