Connections that would hardly be used again are closed after the answer

Change: the time between this relay's calls to an endpoint is kept, first guessed from the listed rate and the number of relays; where it is longer than a connection lives idle, the connection is closed with the last answer. Also holds where a table fills for other reasons; could harm where handshakes are slow and calls come just beyond the idle time.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -104,7 +104,7 @@
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
     private final boolean halving, ratesListed, mayCancel;
     private final double start, rateDoubt, coldFrom, coldMultiple;
-    private final long coldFor, fallFor, settle, askAgain;
+    private final long coldFor, fallFor, settle, askAgain, idleFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
         this.out = out;
@@ -129,6 +129,7 @@
         fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
         mayCancel = s.mayCancel;
+        idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
         tickAt = now + TICK;
         if (s.listAsked) {
@@ -201,18 +202,14 @@
         e.held = true;
         e.to.held++;
         ArrayDeque<Envelope> line = e.to.fresh.get(e.offering);
-        if (again) {
-            line.addFirst(e);
-        } else {
+        if (!again || !line.offerFirst(e)) {
             line.addLast(e);
         }
     }
 
     private void unhold(Envelope e) {
-        if (e.held) {
-            e.held = false;
-            e.to.held--;
-        }
+        e.to.held -= e.held ? 1 : 0;
+        e.held = false;
     }
 
     private double worth(Envelope e, long at) {
@@ -350,10 +347,9 @@
     }
 
     private void cut(Destination d, int stamp) {
-        if (stamp != d.generation) {
-            return;
+        if (stamp == d.generation) {
+            move(d, max(1, min(d.window, cap) * CUT));
         }
-        move(d, max(1, min(d.window, cap) * CUT));
     }
 
     private void move(Destination d, double window) {
@@ -381,14 +377,13 @@
     // ---- Pick
 
     private Route[] routeOf = new Route[32];
-    private int[] zoneOf = new int[32];
-    private int[] phase = new int[32];
-    private double[] lat = new double[32], ill = new double[32], credit = new double[32];
-    private double[] turnOf = new double[32], budget = new double[32], spread = new double[32];
-    private int[] lastBad = new int[32], badRun = new int[32], calls = new int[32];
-    private int[] callCap = new int[32], backCap = new int[32];
+    private int[] zoneOf = new int[32], phase = new int[32], lastBad = new int[32], badRun = new int[32];
+    private int[] calls = new int[32], callCap = new int[32], backCap = new int[32];
+    private double[] lat = new double[32], spread = new double[32], gap = new double[32];
+    private double[] ill = new double[32], credit = new double[32], turnOf = new double[32];
+    private double[] budget = new double[32];
     private boolean[] mayHaveRun = new boolean[32];
-    private long[] lastAnswer = new long[32], lastSend = new long[32];
+    private long[] lastAnswer = new long[32], lastSend = new long[32], sentLast = new long[32];
     private long[] sickSince = new long[32], backSince = new long[32], trialAt = new long[32];
     private long[] budgetAt = new long[32], crowdedAt = new long[32];
     private List<ArrayDeque<Call>> outAt = new ArrayList<>();
@@ -435,17 +430,13 @@
         if (backSince[at] >= 0 && (calls[at] >= backCap[at] || budget[at] < 1)) {
             return false;
         }
-        return trusted(at, e);
+        return e.shots == 0 || credit[at] >= 1;
     }
 
     private boolean knowsRepeat(int at, Envelope e) {
         return e.doubtSince < 0 || !offerings[e.offering].oneZone() || zoneOf[at] == e.doubtZone;
     }
 
-    private boolean trusted(int at, Envelope e) {
-        return e.shots == 0 || credit[at] >= 1;
-    }
-
     private static final long CROWDED_PAUSE = 60 * MS, LONE_TRIAL = 3 * SECOND;
 
     // ---- Pace
@@ -521,10 +512,6 @@
             r.fulls = 0;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
-            if (calls[at] == 0 && now - crowdedAt[at] < CROWDED_FOR) {
-                // Idle connections keep other relays out of a table that was full, as theirs do to this one.
-                out.close(at);
-            }
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
                 crowdedAt[at] = now;
@@ -757,6 +744,13 @@
             calls[call.endpoint]--;
         }
         Route r = routeOf[call.endpoint];
+        int at = call.endpoint;
+        if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
+            && (now - crowdedAt[at] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
+            // Guards against idle connections of many relays filling a table, also before any connect failed:
+            // one that would hardly be used again before it closes by itself only keeps others out.
+            out.close(at);
+        }
         if (limit >= 0) {
             r.told = !(r.told > 0) || limit == 0 ? limit : r.told + 0.2 * (limit - r.told);
         }
@@ -846,6 +840,9 @@
             routeOf[at].listed = rate;
         }
         turnPhase(at, phaseNow);
+        if (sentLast[at] == 0) {
+            gap[at] = SECOND * relays * max(1, routeOf[at].members) / max(0.1, rateOf(routeOf[at]));
+        }
     }
 
     private void turnPhase(int at, int phaseNow) {
@@ -870,16 +867,16 @@
     }
 
     private void grow(int size) {
-        spread = copyOf(spread, size); lastBad = copyOf(lastBad, size);
-        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size);
-        phase = copyOf(phase, size); lat = copyOf(lat, size); ill = copyOf(ill, size);
-        badRun = copyOf(badRun, size); calls = copyOf(calls, size); lastAnswer = copyOf(lastAnswer, size);
-        callCap = copyOf(callCap, size);
-        crowdedAt = copyOf(crowdedAt, size); sickSince = copyOf(sickSince, size);
-        mayHaveRun = copyOf(mayHaveRun, size); backSince = copyOf(backSince, size);
-        trialAt = copyOf(trialAt, size); budget = copyOf(budget, size); budgetAt = copyOf(budgetAt, size);
-        backCap = copyOf(backCap, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
-        lastSend = copyOf(lastSend, size); listNamed = copyOf(listNamed, size);
+        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); phase = copyOf(phase, size);
+        lat = copyOf(lat, size); ill = copyOf(ill, size); gap = copyOf(gap, size);
+        spread = copyOf(spread, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
+        budget = copyOf(budget, size); lastBad = copyOf(lastBad, size); badRun = copyOf(badRun, size);
+        calls = copyOf(calls, size); callCap = copyOf(callCap, size); backCap = copyOf(backCap, size);
+        sentLast = copyOf(sentLast, size); lastSend = copyOf(lastSend, size);
+        mayHaveRun = copyOf(mayHaveRun, size); lastAnswer = copyOf(lastAnswer, size);
+        sickSince = copyOf(sickSince, size); backSince = copyOf(backSince, size);
+        trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size);
+        crowdedAt = copyOf(crowdedAt, size); listNamed = copyOf(listNamed, size);
     }
 
     // ---- The turn
@@ -979,6 +976,8 @@
         d.lastUsed = now;
         calls[at]++;
         outAt.get(at).addLast(call);
+        gap[at] += sentLast[at] == 0 ? 0 : 0.3 * (now - sentLast[at] - gap[at]);
+        sentLast[at] = now;
         charge(at);
         d.filled |= room(d) <= 0;
         if (now < renewUntil) {
@@ -1021,7 +1020,7 @@
                 }
             }
             chosen = best == null ? -1 : joined < 0 ? pick(d, best)
-                : knowsRepeat(joined, best) && trusted(joined, best) ? joined : -1;
+                : knowsRepeat(joined, best) && (best.shots == 0 || credit[joined] >= 1) ? joined : -1;
             if (best == null || chosen >= 0) {
                 return best;
             }
--- a/src/test/java/yewpath/ScenarioTest.java
+++ b/src/test/java/yewpath/ScenarioTest.java
@@ -131,6 +131,7 @@
                     case "late" -> settings.halving = value.equals("halving");
                     case "settle" -> settings.settleAfterDoubt = ms(value);
                     case "probes" -> settings.mayProbe = value.equals("yes");
+                    case "idle" -> settings.connectionIdle = ms(value);
                     case "cancels" -> settings.mayCancel = value.equals("yes");
                     case "seed" -> seed = Long.parseLong(value);
                     default -> throw new IllegalArgumentException("unknown figure " + key);
