Pace and trials for many relays; a connect that runs into its time is an outage

Changes: the pace lends 15% of the rate for what the many others leave; a connect that took its whole time sickens at once, one turned away is tried after a doubling pause; trials and ramps are shared among the relays that can have met the outage, and what the others send counts in. Could harm where a handshake is slower than the connect time.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -5,13 +5,7 @@
 import static java.util.Arrays.copyOf;
 import static yewpath.Egress.*;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.*;
 import java.util.zip.CRC32;
 
 /**
@@ -59,7 +53,7 @@
 
     /** What limit, wait and pace belong to: a destination, or an endpoint where routes are apart. */
     private static final class Route {
-        double listed = Double.NaN, told = Double.NaN, factor = 1, tokens = 1;
+        double listed = Double.NaN, told = Double.NaN, pace, tokens = 1;
         long waitUntil, firstFull, tokensAt;
         int fulls, members;
         boolean pressed;
@@ -104,7 +98,7 @@
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
     private final boolean halving, ratesListed, mayCancel;
     private final double start, rateDoubt, coldFrom, coldMultiple;
-    private final long coldFor, fallFor, settle, askAgain, idleFor;
+    private final long coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
         this.out = out;
@@ -129,6 +123,7 @@
         fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
         mayCancel = s.mayCancel;
+        connectFor = s.connectTimeout > 0 ? s.connectTimeout - s.connectTimeout / 8 : NEVER;
         idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
         tickAt = now + TICK;
@@ -229,25 +224,19 @@
         return soon - worth(e, now + lat + horizon) + 0.25 * soon;
     }
 
-    private Envelope head(ArrayDeque<Envelope> line) {
-        while (!line.isEmpty() && !line.peekFirst().held) {
-            line.pollFirst();
+    private Envelope end(ArrayDeque<Envelope> line, boolean first) {
+        Envelope e = first ? line.peekFirst() : line.peekLast();
+        for (; e != null && !e.held; e = first ? line.peekFirst() : line.peekLast()) {
+            boolean gone = first ? line.remove(e) : line.removeLastOccurrence(e);
         }
-        return line.peekFirst();
-    }
-
-    private Envelope tail(ArrayDeque<Envelope> line) {
-        while (!line.isEmpty() && !line.peekLast().held) {
-            line.pollLast();
-        }
-        return line.peekLast();
+        return e;
     }
 
     /** Envelopes that can't make their agreed time any more leave the line of those that can. */
     private void sortLate(Destination d, long lat) {
         for (int i = 0; i < offerings.length; i++) {
             ArrayDeque<Envelope> fresh = d.fresh.get(i);
-            for (Envelope e = head(fresh); e != null && now + lat > e.agreedAt; e = head(fresh)) {
+            for (Envelope e = end(fresh, true); e != null && now + lat > e.agreedAt; e = end(fresh, true)) {
                 fresh.pollFirst();
                 d.late.get(i).addLast(e);
             }
@@ -265,8 +254,8 @@
         Envelope least = null;
         double leastWorth = Double.MAX_VALUE;
         for (int i = 0; most != null && i < offerings.length; i++) {
-            Envelope e = head(most.late.get(i));
-            e = e == null ? tail(most.fresh.get(i)) : e;
+            Envelope e = end(most.late.get(i), true);
+            e = e == null ? end(most.fresh.get(i), false) : e;
             if (e != null && worth(e, now + SECOND) < leastWorth) {
                 least = e;
                 leastWorth = worth(e, now + SECOND);
@@ -287,12 +276,10 @@
             return;
         }
         if (line.restUntil > now && first.shots == 0) {
-            if (!resting.contains(line)) {
-                resting.add(line);
-            }
-            return;
+            resting.add(line);
+        } else {
+            hold(first, false);
         }
-        hold(first, false);
     }
 
     /** The one place that answers: a deferral promises that nothing ran, or that a repeat is known. */
@@ -441,12 +428,18 @@
 
     // ---- Pace
 
-    private static final double PACE_UP = 1.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.3;
+    private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5;
+    private static final double PACE_START = 1.2, LENT = 0.15;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
     }
 
+    /** This relay's even part, and some of what the others, the more they are, leave unused on the whole. */
+    private double part(Route r) {
+        return rateOf(r) * (PACE_START / relays + LENT * (1 - 1.0 / relays));
+    }
+
     private void refill(Route r) {
         double rate = rateOf(r);
         if (!(rate > 0) || r.told == 0) {
@@ -456,8 +449,8 @@
             r.tokensAt = now;
             return;
         }
-        double mine = rate / relays * r.factor * PACE_START;
-        r.tokens = min(max(1, mine * 0.5), r.tokens + mine * (now - r.tokensAt) / SECOND);
+        r.pace = r.pace > 0 ? r.pace : part(r);
+        r.tokens = min(max(1, r.pace * 0.5), r.tokens + r.pace * (now - r.tokensAt) / SECOND);
         r.tokensAt = now;
     }
 
@@ -466,11 +459,10 @@
             r.firstFull = now;
         }
         if (call.generation == call.to.generation) {
-            r.factor = max(PACE_FLOOR, r.factor * PACE_DOWN);
+            r.pace = max(PACE_FLOOR * rateOf(r) / relays, r.pace * PACE_DOWN);
         }
-        long pause = wait > 0 ? wait
-            : (long) (min(2 * SECOND, 120 * MS << min(4, r.fulls - 1)) * (0.75 + 0.5 * chance()));
-        r.waitUntil = max(r.waitUntil, now + pause);
+        double pause = min(2 * SECOND, 120 * MS << min(4, r.fulls - 1)) * (0.75 + 0.5 * chance());
+        r.waitUntil = max(r.waitUntil, now + (wait > 0 ? wait : (long) pause));
     }
 
     // ---- Health and return
@@ -511,7 +503,7 @@
             Route r = routeOf[at];
             r.fulls = 0;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
-            r.factor = r.pressed ? min(relays, r.factor * PACE_UP) : r.factor;
+            r.pace = r.pressed ? min(rateOf(r), r.pace + PACE_UP * max(part(r), r.pace)) : r.pace;
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
                 crowdedAt[at] = now;
@@ -542,9 +534,11 @@
             lat[at] = max(lat[at], min(elapsed, 2 * lat[at]));
         }
         boolean ran = outcome != UNREACHED;
-        if (!ran && sickSince[at] < 0 && backSince[at] < 0 && badRun[at] < CROWDED_RUN) {
-            // Guards against reading a full connection table as an outage: some connects still succeed, so
-            // it takes a run of failures, each tried a bit later than the last. An outage is seen that later.
+        boolean turnedAway = !ran && elapsed < connectFor;
+        if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && badRun[at] < CROWDED_RUN) {
+            // Guards against reading a full connection table as an outage: it turns a call away at once, a
+            // silent machine lets it run into its time. Some connects still succeed, so it takes a run of
+            // failures, each tried a bit later than the last. A crash is seen that later.
             callCap[at] = max(1, min(callCap[at], calls[at]));
             crowdedAt[at] = now + (CROWDED_PAUSE << badRun[at]);
             return;
@@ -552,7 +546,8 @@
         ill[at] += 0.2 * (1 - ill[at]);
         if (sickSince[at] >= 0) {
             mayHaveRun[at] |= ran;
-            trialAt[at] = now + trialGap(at);
+            long soon = turnedAway ? CROWDED_PAUSE << min(badRun[at], 16) : NEVER;
+            trialAt[at] = now + min(soon, trialGap(at));
         } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
             // one costs more than it loses. An endpoint just back is doubted sooner.
@@ -587,12 +582,16 @@
         badRun[at] = 0;
     }
 
-    /** What this relay may send a second to an endpoint back from an outage: its part of all relays' load. */
+    /**
+     * What this relay may send a second to an endpoint back from an outage: its part, among the relays that
+     * can have met the outage, of what the destination bears and of what the others, who know nothing, send.
+     */
     private double ramp(int at, long since) {
         Route r = routeOf[at];
         double rate = r.told > 0 ? r.told : r.listed > 0 ? r.listed * rateDoubt : 2;
         double warm = coldFrom + (1 - coldFrom) * min(1, since / (double) coldFor);
-        return coldMultiple * warm * rate / relays / max(1, r.members);
+        double knowing = min(relays, max(1, rate * IDLE / SECOND));
+        return rate * (coldMultiple * warm + 1 - knowing / relays) / knowing / max(1, r.members);
     }
 
     private long trialGap(int at) {
@@ -777,7 +776,7 @@
         }
     }
 
-    /** No probe or note is sent yet, and what answers tell is enough: nothing hangs on either. */
+    /** No probe or note is sent yet: nothing hangs on either. */
     public void probed(int endpoint, int outcome, long elapsed, double left, double limit) { }
 
     public void noted(int relay, byte[] text) { }
@@ -818,8 +817,7 @@
             lat[at] = USUAL_LAT;
             spread[at] = USUAL_LAT / 2;
             credit[at] = 3;
-            sickSince[at] = -1;
-            backSince[at] = -1;
+            sickSince[at] = backSince[at] = -1;
             callCap[at] = NO_CAP;
             crowdedAt[at] = -NEVER;
             lastSend[at] = -1;
@@ -1009,7 +1007,7 @@
             int from = -1;
             for (int i = 0; i < 2 * offerings.length; i++) {
                 Envelope e = (tried >> i & 1) != 0 ? null
-                    : i % 2 == 0 ? head(d.fresh.get(i / 2)) : tail(d.late.get(i / 2));
+                    : i % 2 == 0 ? end(d.fresh.get(i / 2), true) : end(d.late.get(i / 2), false);
                 if (e != null) {
                     double gain = urgency(e, typical, horizon);
                     if (gain > most) {
--- a/src/main/java/yewpath/Settings.java
+++ b/src/main/java/yewpath/Settings.java
@@ -39,4 +39,5 @@
     public long fallFor;
     public long settleAfterDoubt;
     public long connectionIdle;
+    public long connectTimeout;
 }
--- a/src/main/java/yewpath/wirehost/Boot.java
+++ b/src/main/java/yewpath/wirehost/Boot.java
@@ -47,6 +47,7 @@
         s.fallMultiple = number("rules.fall_multiple");
         s.fallFor = micros("rules.fall_ms");
         s.settleAfterDoubt = micros("rules.settle_after_doubt_ms");
+        s.connectTimeout = micros("limits.connect_timeout_ms");
         s.connectionIdle = micros("limits.conn_idle_ms");
         for (String zone : list("zones")) {
             zones.of(zone);
--- a/src/test/java/yewpath/ScenarioTest.java
+++ b/src/test/java/yewpath/ScenarioTest.java
@@ -132,6 +132,7 @@
                     case "settle" -> settings.settleAfterDoubt = ms(value);
                     case "probes" -> settings.mayProbe = value.equals("yes");
                     case "idle" -> settings.connectionIdle = ms(value);
+                    case "connect" -> settings.connectTimeout = ms(value);
                     case "cancels" -> settings.mayCancel = value.equals("yes");
                     case "seed" -> seed = Long.parseLong(value);
                     default -> throw new IllegalArgumentException("unknown figure " + key);
