Refusals are answered by pauses that grow with the relays, not by trials

A run of refusals was read as an outage, which with many relays meant minutes of silence. Changes: the first pause and its growth follow the number of relays; a told wait gets a chance part of it on top; the pace above the even part halves at a refusal; the lent part is 5% of the rate.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -54,7 +54,7 @@
     /** What limit, wait and pace belong to: a destination, or an endpoint where routes are apart. */
     private static final class Route {
         double listed = Double.NaN, told = Double.NaN, pace, tokens = 1;
-        long waitUntil, firstFull, tokensAt;
+        long waitUntil, tokensAt;
         int fulls, members;
         boolean pressed;
     }
@@ -429,7 +429,7 @@
     // ---- Pace
 
     private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5;
-    private static final double PACE_START = 1.2, LENT = 0.15;
+    private static final double PACE_START = 1.2, LENT = 0.05;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
@@ -455,14 +455,21 @@
     }
 
     private void refused(Route r, Call call, long wait) {
-        if (r.fulls++ == 0) {
-            r.firstFull = now;
-        }
+        r.fulls++;
         if (call.generation == call.to.generation) {
-            r.pace = max(PACE_FLOOR * rateOf(r) / relays, r.pace * PACE_DOWN);
+            double even = rateOf(r) / relays;
+            r.pace = r.pace > even ? (r.pace + even) / 2 : max(PACE_FLOOR * even, r.pace * PACE_DOWN);
         }
-        double pause = min(2 * SECOND, 120 * MS << min(4, r.fulls - 1)) * (0.75 + 0.5 * chance());
-        r.waitUntil = max(r.waitUntil, now + (wait > 0 ? wait : (long) pause));
+        // Guards against refusals feeding on themselves where refused calls use up the limit, and many relays
+        // back at one told moment: in a run the pause grows past this relay's even part of the limit, and
+        // after a wait as long as an outage the first calls spread like trials.
+        double one = SECOND / max(0.1, rateOf(r) > 0 ? rateOf(r) : 4);
+        double growth = Math.pow(2 + min(2, relays / 24.0), min(9, r.fulls - 1));
+        double pause = min(max(2 * SECOND, 1.5 * relays * one),
+            max(120 * MS, min(relays / 8.0, 6) * one) * growth);
+        pause = wait > SHUT_AFTER ? max(pause, trialGap(call.endpoint) - 2 * SECOND) : pause;
+        pause *= wait > 0 ? chance() : 0.75 + chance() / 2;
+        r.waitUntil = max(r.waitUntil, now + wait + (long) pause);
     }
 
     // ---- Health and return
@@ -487,21 +494,12 @@
             credit[at] = min(CREDIT_MOST, credit[at] + (outcome == FULL ? 1 : CREDIT_GAIN));
         }
         if (outcome == FULL) {
-            Route r = routeOf[at];
-            if (sickSince[at] >= 0) {
-                trialAt[at] = trialAfter(at);
-            } else if (r.waitUntil - r.firstFull > SHUT_AFTER) {
-                for (int i = 0; i < call.to.size; i++) {
-                    if (routeOf[call.to.endpoints[i]] == r) {
-                        sicken(call.to.endpoints[i], false);
-                    }
-                }
-            }
+            trialAt[at] = routeOf[at].waitUntil;
             return;
         }
         if (outcome == FULFILLED) {
             Route r = routeOf[at];
-            r.fulls = 0;
+            r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             r.pace = r.pressed ? min(rateOf(r), r.pace + PACE_UP * max(part(r), r.pace)) : r.pace;
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
@@ -569,7 +567,7 @@
         sickSince[at] = now;
         backSince[at] = -1;
         mayHaveRun[at] = ran;
-        trialAt[at] = trialAfter(at);
+        trialAt[at] = now + trialGap(at);
     }
 
     private void back(int at) {
@@ -601,12 +599,6 @@
         return (long) (max(400 * MS, min(most, gap)) * (0.9 + 0.2 * chance()));
     }
 
-    /** Guards against all relays told the same end of a wait sending their trials at that moment. */
-    private long trialAfter(int at) {
-        long gap = trialGap(at);
-        return max(now + gap, routeOf[at].waitUntil + (long) (chance() * max(0, gap - 2 * SECOND)));
-    }
-
     /** Silence is no outcome: shots out for far longer than answers take here say that none will come. */
     private void listen() {
         for (int at = 0; at < endpointCount; at++) {
