Work follows events, and short slots go where a call earns most in its time

The turn also walked every endpoint and destination. Module folded: one list of calls out, one choice of line. Also helps wherever a few destinations turn slow. Could harm where a slow destination holds the dearest envelopes for long.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -39,7 +39,7 @@
     }
 
     private static final class Call {
-        int endpoint, generation, size, left;
+        int endpoint, generation, left;
         long sentAt;
         boolean learnt, calledOff;
         Destination to;
@@ -56,39 +56,41 @@
         double listed = Double.NaN, told = Double.NaN, pace, tokens = 1;
         long waitUntil, tokensAt;
         int fulls, members;
-        boolean pressed;
+        long pressedAt = -NEVER;
     }
 
+    /** What falls due at a time: nothing is looked at between events but what one of these names. */
+    private record Due(long at, long order, Runnable act) { }
+
     private final class Destination {
-        int[] endpoints = new int[2];
-        int size, generation, sentUnder, inFlight, held, bundle = 1;
+        int[] endpoints = {};
+        int generation, sentUnder, inFlight, held, bundle = 1;
         double window = start;
-        boolean filled;
-        long lastUsed;
+        boolean filled, ready;
+        long lastUsed, wakeAt = NEVER;
         Route shared;
-        final List<ArrayDeque<Envelope>> fresh = new ArrayList<>();
-        final List<ArrayDeque<Envelope>> late = new ArrayList<>();
+        /** Two for each offering: those in time in order of arrival, then the late. */
+        final List<ArrayDeque<Envelope>> lines = new ArrayList<>();
 
         Destination() {
-            for (int i = 0; i < offerings.length; i++) {
-                fresh.add(new ArrayDeque<>());
-                late.add(new ArrayDeque<>());
+            for (int i = 0; i < 2 * offerings.length; i++) {
+                lines.add(new ArrayDeque<>());
             }
         }
     }
 
     private final Egress out;
     private final long seed;
-    private long now, drawn, turns, tickAt, alarmAt = NEVER;
+    private long now, drawn, turns, ordered, alarmAt = NEVER;
     private int slotsOut, open;
     private Envelope[] envelopes = new Envelope[64];
     private Destination[] destinations = new Destination[16];
-    private final ArrayList<Destination> known = new ArrayList<>();
+    private final ArrayList<Destination> holding = new ArrayList<>(), filled = new ArrayList<>();
+    private final ArrayDeque<Destination> ready = new ArrayDeque<>();
+    private final ArrayList<Call> callsOut = new ArrayList<>();
     private final Map<Integer, KeyLine> keyLines = new HashMap<>();
-    private final PriorityQueue<Envelope> byGiveUp =
-        new PriorityQueue<>((a, b) -> a.giveUpAt != b.giveUpAt ? Long.compare(a.giveUpAt, b.giveUpAt)
-            : Integer.compare(a.id, b.id));
-    private final ArrayList<KeyLine> resting = new ArrayList<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) -> a.at != b.at
+        ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
 
     // ---- Settings to figures
 
@@ -126,9 +128,8 @@
         connectFor = s.connectTimeout > 0 ? s.connectTimeout - s.connectTimeout / 8 : NEVER;
         idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
-        tickAt = now + TICK;
         if (s.listAsked) {
-            askList();
+            askBy(now);
         }
     }
 
@@ -136,6 +137,10 @@
         now = clock;
     }
 
+    private void later(long at, Runnable act) {
+        dues.add(new Due(at, ordered++, act));
+    }
+
     /** Uniform in [0, 1): a checksum, so that the same events give the same actions on any machine. */
     private double chance() {
         CRC32 crc = new CRC32();
@@ -164,7 +169,7 @@
         e.to = destination(destination);
         e.giveUpAt = expiry - GIVE_UP_AHEAD;
         open++;
-        byGiveUp.add(e);
+        later(e.giveUpAt, () -> giveUp(e));
         if (o.ordered() && key >= 0) {
             e.line = keyLines.computeIfAbsent(key, k -> new KeyLine());
             e.line.waiting.add(e);
@@ -188,34 +193,35 @@
         }
         if (destinations[index] == null) {
             destinations[index] = new Destination();
-            known.add(destinations[index]);
         }
         return destinations[index];
     }
 
     private void hold(Envelope e, boolean again) {
         e.held = true;
-        e.to.held++;
-        ArrayDeque<Envelope> line = e.to.fresh.get(e.offering);
+        if (e.to.held++ == 0) {
+            holding.add(e.to);
+        }
+        rouse(e.to);
+        ArrayDeque<Envelope> line = e.to.lines.get(2 * e.offering);
         if (!again || !line.offerFirst(e)) {
             line.addLast(e);
         }
     }
 
     private void unhold(Envelope e) {
-        e.to.held -= e.held ? 1 : 0;
+        if (e.held && --e.to.held == 0) {
+            holding.remove(e.to);
+        }
         e.held = false;
     }
 
     private double worth(Envelope e, long at) {
         Settings.Offering o = offerings[e.offering];
-        if (at <= e.agreedAt || at >= e.expiry) {
-            return at <= e.agreedAt ? o.revenue() : 0;
-        }
-        double lateBy = at - e.agreedAt;
+        double lateBy = max(0, at - e.agreedAt);
         double part = halving ? max(o.lateRevenue(), Math.pow(0.5, lateBy / max(1, o.agreed())))
             : 1 - (1 - o.lateRevenue()) * lateBy / max(1, e.expiry - e.agreedAt);
-        return o.revenue() * part;
+        return at >= e.expiry ? 0 : o.revenue() * part;
     }
 
     /** In order of arrival a whole backlog would be late; this asks what a delay would cost. */
@@ -224,6 +230,10 @@
         return soon - worth(e, now + lat + horizon) + 0.25 * soon;
     }
 
+    private Envelope head(Destination d, int line) {
+        return end(d.lines.get(line), line % 2 == 0);
+    }
+
     private Envelope end(ArrayDeque<Envelope> line, boolean first) {
         Envelope e = first ? line.peekFirst() : line.peekLast();
         for (; e != null && !e.held; e = first ? line.peekFirst() : line.peekLast()) {
@@ -234,11 +244,10 @@
 
     /** Envelopes that can't make their agreed time any more leave the line of those that can. */
     private void sortLate(Destination d, long lat) {
-        for (int i = 0; i < offerings.length; i++) {
-            ArrayDeque<Envelope> fresh = d.fresh.get(i);
-            for (Envelope e = end(fresh, true); e != null && now + lat > e.agreedAt; e = end(fresh, true)) {
-                fresh.pollFirst();
-                d.late.get(i).addLast(e);
+        for (int i = 0; i < d.lines.size(); i += 2) {
+            for (Envelope e = head(d, i); e != null && now + lat > e.agreedAt; e = head(d, i)) {
+                d.lines.get(i).pollFirst();
+                d.lines.get(i + 1).addLast(e);
             }
         }
     }
@@ -246,20 +255,14 @@
     /** The hold is nearly full: what one destination can't take must not keep out the others' envelopes. */
     private void shed() {
         Destination most = null;
-        for (Destination d : known) {
-            if (d.held > 0 && (most == null || d.held > most.held)) {
-                most = d;
-            }
+        for (Destination d : holding) {
+            most = most == null || d.held > most.held ? d : most;
         }
         Envelope least = null;
-        double leastWorth = Double.MAX_VALUE;
-        for (int i = 0; most != null && i < offerings.length; i++) {
-            Envelope e = end(most.late.get(i), true);
-            e = e == null ? end(most.fresh.get(i), false) : e;
-            if (e != null && worth(e, now + SECOND) < leastWorth) {
-                least = e;
-                leastWorth = worth(e, now + SECOND);
-            }
+        long soon = now + SECOND;
+        for (int i = 0; most != null && i < most.lines.size(); i++) {
+            Envelope e = end(most.lines.get(i), i % 2 == 1);
+            least = e == null || least != null && worth(e, soon) > worth(least, soon) ? least : e;
         }
         if (least != null) {
             finish(least, SECOND);
@@ -276,12 +279,18 @@
             return;
         }
         if (line.restUntil > now && first.shots == 0) {
-            resting.add(line);
+            later(line.restUntil, () -> step(line));
         } else {
             hold(first, false);
         }
     }
 
+    private void giveUp(Envelope e) {
+        if (!e.ended && e.call == null && now >= e.giveUpAt) {
+            finish(e, 0);
+        }
+    }
+
     /** The one place that answers: a deferral promises that nothing ran, or that a repeat is known. */
     private void finish(Envelope e, long pause) {
         Settings.Offering o = offerings[e.offering];
@@ -296,10 +305,8 @@
 
     private void close(Envelope e) {
         unhold(e);
-        if (!e.ended) {
-            e.ended = true;
-            open--;
-        }
+        open -= e.ended ? 0 : 1;
+        e.ended = true;
     }
 
     private void advance(Envelope e) {
@@ -319,11 +326,8 @@
     }
 
     public void withdrawn(int id) {
-        Envelope e = envelopes[id];
-        if (e != null && !e.ended) {
-            close(e);
-            advance(e);
-        }
+        close(envelopes[id]);
+        advance(envelopes[id]);
     }
 
     // ---- Window
@@ -333,65 +337,53 @@
         return (isSick(d) ? min(limit, sickCap) : limit) - d.inFlight;
     }
 
-    private void cut(Destination d, int stamp) {
-        if (stamp == d.generation) {
-            move(d, max(1, min(d.window, cap) * CUT));
-        }
-    }
-
     private void move(Destination d, double window) {
         d.window = window;
         d.generation++;
         d.sentUnder = 0;
     }
 
+    private void fill(Destination d) {
+        if (!d.filled && room(d) <= 0) {
+            d.filled = true;
+            if (filled.isEmpty()) {
+                later(now + TICK, this::tick);
+            }
+            filled.add(d);
+        }
+    }
+
     private void tick() {
-        for (Destination d : known) {
+        for (Destination d : filled) {
             double raise = d.window * (RAISE - 1);
-            if (d.filled && d.held > 0 && d.sentUnder >= raise && d.window < cap) {
+            if (d.held > 0 && d.sentUnder >= raise && d.window < cap) {
                 move(d, min(cap, d.window * RAISE));
+                rouse(d);
             }
             d.filled = false;
-            for (int i = 0; i < d.size; i++) {
-                routeOf[d.endpoints[i]].pressed = false;
-            }
-            if (d.held == 0 && d.inFlight == 0 && now - d.lastUsed > IDLE) {
-                move(d, start);
-            }
         }
+        filled.clear();
     }
 
     // ---- Pick
 
-    private Route[] routeOf = new Route[32];
-    private int[] zoneOf = new int[32], phase = new int[32], lastBad = new int[32], badRun = new int[32];
-    private int[] calls = new int[32], callCap = new int[32], backCap = new int[32];
-    private double[] lat = new double[32], spread = new double[32], gap = new double[32];
-    private double[] ill = new double[32], credit = new double[32], turnOf = new double[32];
-    private double[] budget = new double[32];
-    private boolean[] mayHaveRun = new boolean[32];
-    private long[] lastAnswer = new long[32], lastSend = new long[32], sentLast = new long[32];
-    private long[] sickSince = new long[32], backSince = new long[32], trialAt = new long[32];
-    private long[] budgetAt = new long[32], crowdedAt = new long[32];
-    private List<ArrayDeque<Call>> outAt = new ArrayList<>();
-    private int endpointCount;
+    private Route[] routeOf = {};
+    private int[] zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {}, backCap = {};
+    private double[] lat = {}, spread = {}, gap = {}, ill = {}, credit = {}, turnOf = {}, budget = {};
+    private boolean[] mayHaveRun = {}, listNamed = {};
+    private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
+    private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
     private static final double USUAL_LAT = 0.5 * SECOND;
 
     private int pick(Destination d, Envelope e) {
         int best = -1;
         double sum = 0;
-        for (int i = 0; i < d.size; i++) {
-            int at = d.endpoints[i];
-            if (!usable(at, e)) {
-                continue;
-            }
-            double weight = (1.05 - min(1, ill[at])) / (lat[at] + 50 * MS);
+        for (int at : d.endpoints) {
+            double weight = usable(at, e) ? (1.05 - min(1, ill[at])) / (lat[at] + 50 * MS) : 0;
             sum += weight;
             turnOf[at] += weight;
-            if (best < 0 || turnOf[at] > turnOf[best]) {
-                best = at;
-            }
+            best = weight > 0 && (best < 0 || turnOf[at] > turnOf[best]) ? at : best;
         }
         if (best >= 0) {
             turnOf[best] -= sum;
@@ -399,25 +391,32 @@
         return best;
     }
 
-    private boolean usable(int at, Envelope e) {
-        Settings.Offering o = offerings[e.offering];
+    /** When this endpoint may have a call as far as time decides; NEVER where only an answer can tell. */
+    private long opensAt(int at) {
         Route r = routeOf[at];
-        if (phase[at] != UP || now < r.waitUntil || r.tokens < 1
-            || calls[at] >= callCap[at] || now < crowdedAt[at]
-            || !knowsRepeat(at, e)
-            || e.to.bundle > 1 && lastSend[at] == turns) {
-            return false;
+        if (phase[at] != UP || calls[at] >= callCap[at] || sickSince[at] >= 0 && calls[at] > 0
+            || backSince[at] >= 0 && calls[at] >= backCap[at]) {
+            return NEVER;
+        }
+        long from = max(r.waitUntil, crowdedAt[at]);
+        if (r.tokens < 1) {
+            from = max(from, now + 1 + (long) ((1 - r.tokens) / r.pace * SECOND));
         }
         if (sickSince[at] >= 0) {
-            // A trial may be lost: it is one that can be mended, unless the trouble proves that none ran.
-            return now >= trialAt[at] && calls[at] == 0
-                && (o.kind() != Settings.Kind.ONCE_ONLY || !mayHaveRun[at]
-                || now - trialAt[at] > LONE_TRIAL);
+            from = max(from, trialAt[at]);
+        } else if (backSince[at] >= 0 && budget[at] < 1) {
+            from = max(from, now + 1 + (long) ((1 - budget[at]) / ramp(at, now - backSince[at]) * SECOND));
         }
-        if (backSince[at] >= 0 && (calls[at] >= backCap[at] || budget[at] < 1)) {
+        return lastSend[at] == turns ? max(from, now + MS) : from;
+    }
+
+    private boolean usable(int at, Envelope e) {
+        if (opensAt(at) > now || !knowsRepeat(at, e)) {
             return false;
         }
-        return e.shots == 0 || credit[at] >= 1;
+        // A trial may be lost: it is one that can be mended, unless the trouble proves that none ran.
+        return sickSince[at] < 0 ? e.shots == 0 || credit[at] >= 1 : !mayHaveRun[at]
+            || offerings[e.offering].kind() != Settings.Kind.ONCE_ONLY || now - trialAt[at] > LONE_TRIAL;
     }
 
     private boolean knowsRepeat(int at, Envelope e) {
@@ -440,18 +439,21 @@
         return rateOf(r) * (PACE_START / relays + LENT * (1 - 1.0 / relays));
     }
 
-    private void refill(Route r) {
-        double rate = rateOf(r);
-        if (!(rate > 0) || r.told == 0) {
-            // A destination that says it has no limit is left to the window: an even part of a guessed rate
-            // kept envelopes waiting wherever many relays send little each.
-            r.tokens = slots;
-            r.tokensAt = now;
-            return;
-        }
+    private void refill(int at) {
+        Route r = routeOf[at];
         r.pace = r.pace > 0 ? r.pace : part(r);
-        r.tokens = min(max(1, r.pace * 0.5), r.tokens + r.pace * (now - r.tokensAt) / SECOND);
+        // A destination that says it has no limit is left to the window: an even part of a guessed rate
+        // kept envelopes waiting wherever many relays send little each.
+        r.tokens = !(r.pace > 0) || r.told == 0 ? slots
+            : min(max(1, r.pace * 0.5), r.tokens + r.pace * (now - r.tokensAt) / SECOND);
         r.tokensAt = now;
+        if (now - backSince[at] > coldFor) {
+            backSince[at] = -1;
+        } else if (backSince[at] >= 0) {
+            double rate = ramp(at, now - backSince[at]);
+            budget[at] = min(max(1, rate / 2), budget[at] + rate * (now - budgetAt[at]) / SECOND);
+            budgetAt[at] = now;
+        }
     }
 
     private void refused(Route r, Call call, long wait) {
@@ -475,8 +477,7 @@
     // ---- Health and return
 
     private boolean isSick(Destination d) {
-        for (int i = 0; i < d.size; i++) {
-            int at = d.endpoints[i];
+        for (int at : d.endpoints) {
             if (phase[at] == UP && (sickSince[at] >= 0 || ill[at] > 0.3)) {
                 return true;
             }
@@ -501,7 +502,8 @@
             Route r = routeOf[at];
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
-            r.pace = r.pressed ? min(rateOf(r), r.pace + PACE_UP * max(part(r), r.pace)) : r.pace;
+            double raise = now - r.pressedAt < TICK ? PACE_UP * max(part(r), r.pace) : 0;
+            r.pace = min(max(r.pace, rateOf(r)), r.pace + raise);
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
                 crowdedAt[at] = now;
@@ -514,15 +516,12 @@
             double off = min(elapsed, 4 * lat[at]) - lat[at];
             lat[at] += 0.15 * off;
             spread[at] += 0.15 * (Math.abs(off) - spread[at]);
-            if (sickSince[at] >= 0) {
-                if (ill[at] < 0.15 && !mayHaveRun[at]) {
-                    sickSince[at] = -1;
-                } else {
-                    back(at);
-                }
+            if (sickSince[at] >= 0 && (ill[at] >= 0.15 || mayHaveRun[at])) {
+                back(at);
             } else if (backSince[at] >= 0) {
                 backCap[at]++;
             }
+            sickSince[at] = -1;
             return;
         }
         lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
@@ -554,16 +553,12 @@
     }
 
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04;
-    private static final long RENEW_FOR = 30 * SECOND;
+    private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
     private double lost;
     private long renewUntil;
-    private static final long CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
-    private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4;
+    private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4, CHOICE = 8;
 
     private void sicken(int at, boolean ran) {
-        if (sickSince[at] >= 0) {
-            return;
-        }
         sickSince[at] = now;
         backSince[at] = -1;
         mayHaveRun[at] = ran;
@@ -571,7 +566,6 @@
     }
 
     private void back(int at) {
-        sickSince[at] = -1;
         backSince[at] = now;
         backCap[at] = 1;
         budget[at] = min(1, 2 * ramp(at, 0) * fallFor / SECOND);
@@ -600,36 +594,24 @@
     }
 
     /** Silence is no outcome: shots out for far longer than answers take here say that none will come. */
-    private void listen() {
-        for (int at = 0; at < endpointCount; at++) {
-            if (backSince[at] >= 0) {
-                if (now - backSince[at] > coldFor) {
-                    backSince[at] = -1;
-                } else {
-                    double rate = ramp(at, now - backSince[at]);
-                    budget[at] = min(max(1, rate / 2),
-                        budget[at] + rate * (now - budgetAt[at]) / SECOND);
-                    budgetAt[at] = now;
-                }
-            }
-            if (calls[at] == 0 || sickSince[at] >= 0) {
-                continue;
-            }
-            ArrayDeque<Call> line = outAt.get(at);
-            while (line.peekFirst().left == 0) {
-                line.pollFirst();
-            }
-            // One answer may be lost anywhere; silence is two that stay away long, or one after two failures.
-            int needed = badRun[at] > 1 ? 1 : 2;
-            long quiet = 0;
-            for (Call call : line) {
-                if (call.left > 0 && --needed == 0) {
-                    quiet = now - max(call.sentAt, lastAnswer[at]);
-                    break;
+    private void listen(int at) {
+        if (calls[at] == 0 || sickSince[at] >= 0) {
+            return;
+        }
+        // One answer may be lost anywhere; silence is two that stay away long, or one after two failures.
+        int needed = badRun[at] > 1 ? 1 : 2;
+        for (Call call : callsOut) {
+            if (call.endpoint == at && --needed == 0) {
+                long quiet = max(call.sentAt, lastAnswer[at]) + 1
+                    + (long) max(700 * MS, lat[at] * (2.5 + 4.0 / calls[at]));
+                if (now >= quiet) {
+                    sicken(at, true);
+                    rouse(call.to);
+                } else if (listenAt[at] <= now || quiet < listenAt[at]) {
+                    listenAt[at] = quiet;
+                    later(quiet, () -> listen(at));
                 }
-            }
-            if (quiet > 700 * MS && quiet > lat[at] * (2.5 + 4.0 / calls[at])) {
-                sicken(at, true);
+                return;
             }
         }
     }
@@ -652,12 +634,9 @@
         unhold(e);
         int at = call.endpoint;
         long within = patience(e, at);
-        if (e.shots > 0) {
-            credit[at] = max(0, credit[at] - 1);
-        }
+        credit[at] = max(0, credit[at] - min(1, e.shots));
         e.shots++;
         e.call = call;
-        call.size++;
         call.carried.add(e);
         call.left++;
         call.to.sentUnder++;
@@ -666,9 +645,8 @@
     }
 
     /**
-     * Guards against calls without answer holding the slots that others need, whatever the cause:
-     * where slots run short the oldest shots at sick endpoints are called off, for the design leaves a sick
-     * destination half of the slots and two could hold all. Harms once-only envelopes that would be answered.
+     * Guards against calls without answer holding the slots that others need: the design leaves a sick
+     * destination half of them. Harms once-only envelopes that would be answered.
      */
     private void callOff() {
         int wanted = max(1, slots / 4) - (slots - slotsOut);
@@ -676,27 +654,27 @@
             return;
         }
         boolean othersWait = false;
-        for (Destination d : known) {
-            othersWait |= d.held > 0 && !isSick(d) && room(d) > 0;
-        }
-        for (int at = 0; othersWait && wanted > 0 && at < endpointCount; at++) {
-            double hopeless = sickSince[at] >= 0 ? max(HOPELESS, 4 * lat[at])
-                : max(2 * HOPELESS, 8 * lat[at]);
-            for (Call call : calls[at] > 0 ? outAt.get(at) : NO_CALLS) {
-                if (wanted > 0 && call.left > 0 && now - call.sentAt > hopeless) {
-                    wanted--;
-                    for (Envelope e : call.calledOff ? List.<Envelope>of() : call.carried) {
-                        if (e.call == call) {
-                            out.cancel(e.id, e.shots - 1);
-                        }
+        for (Destination d : ready) {
+            othersWait |= !isSick(d) && room(d) > 0;
+        }
+        for (Call call : othersWait ? callsOut : List.<Call>of()) {
+            int factor = sickSince[call.endpoint] >= 0 ? 1 : 2;
+            if (now - call.sentAt > factor * max(HOPELESS, 4 * lat[call.endpoint]) && wanted-- > 0) {
+                for (Envelope e : call.calledOff ? List.<Envelope>of() : call.carried) {
+                    if (e.call == call) {
+                        out.cancel(e.id, e.shots - 1);
                     }
-                    call.calledOff = true;
                 }
+                call.calledOff = true;
             }
         }
+        if (othersWait && callOffAt <= now) {
+            callOffAt = now + HOPELESS / 8;
+            later(callOffAt, () -> { });
+        }
     }
 
-    private static final ArrayDeque<Call> NO_CALLS = new ArrayDeque<>();
+    private long callOffAt;
     private static final long HOPELESS = 1500 * MS;
 
     private void afterShot(Envelope e, Call call, int outcome) {
@@ -706,9 +684,8 @@
             e.doubtSince = call.sentAt;
             e.doubtZone = zoneOf[call.endpoint];
             if (o.kind() == Settings.Kind.TAGGED && e.doubtSince + o.memory() - GIVE_UP_AHEAD < e.giveUpAt) {
-                byGiveUp.remove(e);
                 e.giveUpAt = e.doubtSince + o.memory() - GIVE_UP_AHEAD;
-                byGiveUp.add(e);
+                later(e.giveUpAt, () -> giveUp(e));
             }
         }
         if (!mayRepeat(e) || e.shots >= shotLimit || now >= e.giveUpAt) {
@@ -733,6 +710,7 @@
             slotsOut--;
             d.inFlight--;
             calls[call.endpoint]--;
+            callsOut.remove(call);
         }
         Route r = routeOf[call.endpoint];
         int at = call.endpoint;
@@ -751,12 +729,16 @@
             } else if (wait > 0) {
                 r.waitUntil = max(r.waitUntil, now + wait);
             }
-            cut(d, call.generation);
+            if (call.generation == d.generation) {
+                move(d, max(1, min(d.window, cap) * CUT));
+            }
         }
         if (!call.learnt) {
             call.learnt = true;
             learn(call, outcome, elapsed);
+            listen(call.endpoint);
         }
+        rouse(d);
         if (e.line != null && (outcome == TIMEOUT || outcome == BROKEN || outcome == CANCELLED)) {
             e.line.restUntil = max(e.line.restUntil, now + settle);
         }
@@ -776,13 +758,16 @@
     // ---- List
 
     private boolean listWhole;
-    private boolean[] listNamed = new boolean[32];
-    private long askAt = NEVER;
-    private long askBackoff;
-
-    private void askList() {
-        out.list(true);
-        askAt = now + 3 * SECOND;
+    private long askAt = NEVER, askBackoff;
+
+    private void askBy(long at) {
+        askAt = at;
+        later(at, () -> {
+            if (askAt == at) {
+                out.list(true);
+                askBy(now + 3 * SECOND);
+            }
+        });
     }
 
     public void listBegins(boolean whole, boolean cached) {
@@ -791,21 +776,17 @@
             askAt = NEVER;
             askBackoff = 0;
         }
-        Arrays.fill(listNamed, false);
+        Arrays.fill(listNamed, 0, whole ? listNamed.length : 0, false);
     }
 
     public void listed(int at, int zone, int kind, int destination, int phaseNow, double rate, long since) {
         if (at >= routeOf.length) {
-            grow(at * 2);
+            grow(2 * at + 32);
         }
         listNamed[at] = true;
         Destination d = destination(destination);
         boolean isApart = kind < apart.length && apart[kind];
         if (routeOf[at] == null) {
-            while (outAt.size() <= at) {
-                outAt.add(new ArrayDeque<>());
-            }
-            endpointCount = max(endpointCount, at + 1);
             lat[at] = USUAL_LAT;
             spread[at] = USUAL_LAT / 2;
             credit[at] = 3;
@@ -814,10 +795,8 @@
             crowdedAt[at] = -NEVER;
             lastSend[at] = -1;
             phase[at] = 2;
-            if (d.size == d.endpoints.length) {
-                d.endpoints = copyOf(d.endpoints, d.size * 2);
-            }
-            d.endpoints[d.size++] = at;
+            d.endpoints = copyOf(d.endpoints, d.endpoints.length + 1);
+            d.endpoints[d.endpoints.length - 1] = at;
             d.bundle = kind < bundles.length ? max(1, bundles[kind]) : 1;
             if (!isApart && d.shared == null) {
                 d.shared = new Route();
@@ -830,6 +809,7 @@
             routeOf[at].listed = rate;
         }
         turnPhase(at, phaseNow);
+        rouse(d);
         if (sentLast[at] == 0) {
             gap[at] = SECOND * relays * max(1, routeOf[at].members) / max(0.1, rateOf(routeOf[at]));
         }
@@ -843,7 +823,7 @@
     }
 
     public void listEnds() {
-        for (int at = 0; listWhole && at < endpointCount; at++) {
+        for (int at = 0; listWhole && at < routeOf.length; at++) {
             if (!listNamed[at] && routeOf[at] != null) {
                 turnPhase(at, 2);
             }
@@ -853,7 +833,7 @@
     public void listFailed() {
         // The notice doesn't say whether the watch still stands, so it is asked for again, ever more slowly.
         askBackoff = askBackoff == 0 ? askAgain : min(4 * askAgain, askBackoff * 2);
-        askAt = min(askAt, now + (long) (askBackoff * (0.5 + chance())));
+        askBy(min(askAt, now + (long) (askBackoff * (0.5 + chance()))));
     }
 
     private void grow(int size) {
@@ -867,67 +847,108 @@
         sickSince = copyOf(sickSince, size); backSince = copyOf(backSince, size);
         trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size);
         crowdedAt = copyOf(crowdedAt, size); listNamed = copyOf(listNamed, size);
+        listenAt = copyOf(listenAt, size);
     }
 
     // ---- The turn
 
     public void due() {
-        alarmAt = NEVER;
+        alarmAt = now >= alarmAt ? NEVER : alarmAt;
     }
 
     /** Closes a round: what time alone decides, then whatever may go out goes. */
     public void turn() {
         turns++;
-        if (now >= askAt) {
-            askList();
-        }
-        listen();
-        while (!byGiveUp.isEmpty() && (byGiveUp.peek().ended || byGiveUp.peek().giveUpAt <= now)) {
-            Envelope e = byGiveUp.poll();
-            if (!e.ended && e.call == null) {
-                finish(e, 0);
-            }
-        }
-        for (int i = resting.size() - 1; i >= 0; i--) {
-            if (resting.get(i).restUntil <= now) {
-                step(resting.remove(i));
-            }
-        }
-        if (now >= tickAt) {
-            tick();
-            tickAt = now + TICK;
+        while (!dues.isEmpty() && dues.peek().at <= now) {
+            dues.poll().act.run();
         }
         dispatch();
         callOff();
-        long wake = min(tickAt, now + (open > 0 ? 20 * MS : TICK));
-        if (alarmAt > wake) {
-            alarmAt = wake;
-            out.alarm(wake - now);
+        if (!dues.isEmpty() && alarmAt > dues.peek().at) {
+            alarmAt = dues.peek().at;
+            out.alarm(alarmAt - now);
+        }
+    }
+
+    private void rouse(Destination d) {
+        if (d.held > 0 && !d.ready && d.endpoints.length > 0) {
+            d.ready = true;
+            ready.addLast(d);
         }
     }
 
     private void dispatch() {
-        boolean sent = true;
-        for (int round = 0; sent; round++) {
-            sent = false;
-            for (int i = 0; i < known.size(); i++) {
-                Destination d = known.get((int) ((turns + i) % known.size()));
-                sent |= d.held > 0 && d.size > 0 && offer(d, round == 0);
+        while (!ready.isEmpty() && slotsOut < slots) {
+            Destination d = slots - slotsOut < ready.size() ? dearest() : ready.pollFirst();
+            d.ready = false;
+            if (d.held == 0 || offer(d)) {
+                rouse(d);
+            } else {
+                sleep(d);
             }
         }
     }
 
-    private boolean offer(Destination d, boolean first) {
-        long typical = (long) USUAL_LAT;
-        for (int i = 0; i < d.size; i++) {
-            typical = min(typical, (long) lat[d.endpoints[i]]);
-            if (first) {
-                refill(routeOf[d.endpoints[i]]);
+    /**
+     * Guards against slow destinations taking the slots that quick ones would turn over: where slots are
+     * short the next call goes where it earns most in its time, of a few of those ready, in turns.
+     */
+    private Destination dearest() {
+        Destination best = null;
+        double most = -1;
+        for (int i = min(CHOICE, ready.size()); i > 0; i--) {
+            Destination d = ready.pollFirst();
+            ready.addLast(d);
+            long typical = typical(d);
+            int line = foremost(d, typical, 0);
+            double gain = line < 0 ? 0 : urgency(head(d, line), typical, horizon(d)) / (typical + 50 * MS);
+            if (gain > most) {
+                most = gain;
+                best = d;
             }
         }
-        boolean full = room(d) <= 0;
-        d.filled |= full;
-        if (full || slotsOut >= slots) {
+        ready.removeLastOccurrence(best);
+        return best;
+    }
+
+    private void sleep(Destination d) {
+        long wake = NEVER;
+        for (int at : d.endpoints) {
+            long from = opensAt(at);
+            from = from <= now && sickSince[at] >= 0 ? trialAt[at] + LONE_TRIAL + 1 : from;
+            wake = from > now && room(d) > 0 ? min(wake, from) : wake;
+        }
+        if (wake < NEVER && (wake < d.wakeAt || d.wakeAt <= now)) {
+            long due = wake;
+            d.wakeAt = wake;
+            later(wake, () -> {
+                if (d.wakeAt == due) {
+                    rouse(d);
+                }
+            });
+        }
+    }
+
+    private long typical(Destination d) {
+        double typical = USUAL_LAT;
+        for (int at : d.endpoints) {
+            typical = min(typical, lat[at]);
+        }
+        return (long) typical;
+    }
+
+    private long horizon(Destination d) {
+        double rate = rateOf(routeOf[d.endpoints[0]]);
+        return (long) max(250 * MS, min(8 * SECOND, d.held / (rate > 0 ? rate / relays : 2) * SECOND));
+    }
+
+    private boolean offer(Destination d) {
+        long typical = typical(d);
+        for (int at : d.endpoints) {
+            refill(at);
+        }
+        fill(d);
+        if (room(d) <= 0) {
             return false;
         }
         sortLate(d, typical);
@@ -939,17 +960,17 @@
                 call = begin(d, at);
             }
             send(e, call);
-            if (call.size >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
+            if (call.carried.size() >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
                 break;
             }
         }
         if (call == null) {
-            for (int i = 0; i < d.size; i++) {
-                routeOf[d.endpoints[i]].pressed |= routeOf[d.endpoints[i]].tokens < 1;
+            for (int i : d.endpoints) {
+                routeOf[i].pressedAt = routeOf[i].tokens < 1 ? now : routeOf[i].pressedAt;
             }
             return false;
         }
-        lastSend[at] = turns;
+        lastSend[at] = d.bundle > 1 ? turns : -1;
         return true;
     }
 
@@ -962,14 +983,20 @@
         call.generation = d.generation;
         call.sentAt = now;
         slotsOut++;
-        d.inFlight++;
+        if (d.inFlight++ == 0 && now - d.lastUsed > IDLE) {
+            move(d, start);
+            call.generation = d.generation;
+        }
         d.lastUsed = now;
         calls[at]++;
-        outAt.get(at).addLast(call);
+        callsOut.add(call);
         gap[at] += sentLast[at] == 0 ? 0 : 0.3 * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
-        charge(at);
-        d.filled |= room(d) <= 0;
+        routeOf[at].tokens--;
+        budget[at]--;
+        trialAt[at] = sickSince[at] >= 0 ? now + trialGap(at) : 0;
+        fill(d);
+        listen(at);
         if (now < renewUntil) {
             // Guards against connections that died while idle, unseen here: a call on one is lost.
             out.close(at);
@@ -977,44 +1004,34 @@
         return call;
     }
 
-    private void charge(int at) {
-        routeOf[at].tokens--;
-        if (backSince[at] >= 0) {
-            budget[at]--;
-        }
-        if (sickSince[at] >= 0) {
-            trialAt[at] = now + trialGap(at);
+    /** The line whose head a delay costs most. */
+    private int foremost(Destination d, long typical, long tried) {
+        long horizon = horizon(d);
+        double most = -1;
+        int line = -1;
+        for (int i = 0; i < d.lines.size(); i++) {
+            Envelope e = (tried >> i & 1) != 0 ? null : head(d, i);
+            double gain = e == null ? -1 : urgency(e, typical, horizon);
+            if (gain > most) {
+                most = gain;
+                line = i;
+            }
         }
+        return line;
     }
 
     /** The held envelope to go next: the one a delay costs most among those that some endpoint may have. */
     private Envelope next(Destination d, long typical, int joined) {
-        Route r = routeOf[d.endpoints[0]];
-        double rate = rateOf(r) > 0 ? rateOf(r) / relays : 2;
-        long horizon = (long) max(250 * MS, min(8 * SECOND, d.held / rate * SECOND));
         long tried = 0;
         while (true) {
-            Envelope best = null;
-            double most = -1;
-            int from = -1;
-            for (int i = 0; i < 2 * offerings.length; i++) {
-                Envelope e = (tried >> i & 1) != 0 ? null
-                    : i % 2 == 0 ? end(d.fresh.get(i / 2), true) : end(d.late.get(i / 2), false);
-                if (e != null) {
-                    double gain = urgency(e, typical, horizon);
-                    if (gain > most) {
-                        most = gain;
-                        best = e;
-                        from = i;
-                    }
-                }
-            }
-            chosen = best == null ? -1 : joined < 0 ? pick(d, best)
-                : knowsRepeat(joined, best) && (best.shots == 0 || credit[joined] >= 1) ? joined : -1;
-            if (best == null || chosen >= 0) {
-                return best;
+            int line = foremost(d, typical, tried);
+            Envelope e = line < 0 ? null : head(d, line);
+            chosen = e == null ? -1 : joined < 0 ? pick(d, e)
+                : knowsRepeat(joined, e) && (e.shots == 0 || credit[joined] >= 1) ? joined : -1;
+            if (e == null || chosen >= 0) {
+                return e;
             }
-            tried |= 1L << from;
+            tried |= 1L << line;
         }
     }
 }
