--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -459,8 +459,8 @@
     private void refused(Route r, Call call, long wait) {
         r.fulls++;
         if (call.generation == call.to.generation) {
-            double even = rateOf(r) / relays;
-            r.pace = r.pace > even ? (r.pace + even) / 2 : max(PACE_FLOOR * even, r.pace * PACE_DOWN);
+            double even = rateOf(r) / relays, own = PACE_START * even;
+            r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
         // Guards against refusals feeding on themselves where refused calls use up the limit, and many relays
         // back at one told moment: in a run the pause grows past this relay's even part of the limit, and
