Fail-back at size: crashes are counted over endpoints, replacements of a downed destination are tried, not stormed

Changes: calls turned away at once count over all endpoints of a destination and pause like refusals; an endpoint listed while its fellows are all sick starts sick. Could harm where tables are full for long: they look like a crash.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -5,6 +5,7 @@
 import static java.util.Arrays.copyOf;
 import static yewpath.Egress.*;
 
+import java.nio.ByteBuffer;
 import java.util.*;
 import java.util.zip.CRC32;
 
@@ -65,7 +66,7 @@
     private final class Destination {
         int[] endpoints = {};
         int generation, sentUnder, inFlight, held, bundle = 1;
-        double window = start;
+        double window = cap;
         boolean filled, ready;
         long lastUsed, wakeAt = NEVER;
         Route shared;
@@ -82,7 +83,7 @@
     private final Egress out;
     private final long seed;
     private long now, drawn, turns, ordered, alarmAt = NEVER;
-    private int slotsOut, open;
+    private int slotsOut, open, chosen;
     private Envelope[] envelopes = new Envelope[64];
     private Destination[] destinations = new Destination[16];
     private final ArrayList<Destination> holding = new ArrayList<>(), filled = new ArrayList<>();
@@ -99,7 +100,7 @@
     private final int[] bundles;
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
     private final boolean halving, ratesListed, mayCancel;
-    private final double start, rateDoubt, coldFrom, coldMultiple;
+    private final double rateDoubt, coldFrom, coldMultiple;
     private final long coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
@@ -112,7 +113,6 @@
         slots = max(1, s.slots);
         cap = max(1, (int) (START * slots));
         sickCap = max(1, slots / 2);
-        start = cap;
         shotLimit = s.shotLimit > 0 ? s.shotLimit : Integer.MAX_VALUE;
         fillMark = s.holdLimit > 0 ? max(1, s.holdLimit - max(1, s.holdLimit / 16)) : Integer.MAX_VALUE;
         relays = max(1, s.relays);
@@ -144,12 +144,7 @@
     /** Uniform in [0, 1): a checksum, so that the same events give the same actions on any machine. */
     private double chance() {
         CRC32 crc = new CRC32();
-        long word = seed;
-        for (int i = 0; i < 16; i++) {
-            crc.update((int) word & 0xff);
-            word = i == 7 ? drawn : word >>> 8;
-        }
-        drawn++;
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(drawn++).flip());
         return crc.getValue() / 4294967296.0;
     }
 
@@ -423,7 +418,7 @@
         return e.doubtSince < 0 || !offerings[e.offering].oneZone() || zoneOf[at] == e.doubtZone;
     }
 
-    private static final long CROWDED_PAUSE = 60 * MS, LONE_TRIAL = 3 * SECOND;
+    private static final long LONE_TRIAL = 3 * SECOND, HOPELESS = 1500 * MS;
 
     // ---- Pace
 
@@ -462,16 +457,17 @@
             double even = rateOf(r) / relays, own = PACE_START * even;
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
+        double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
+        double pause = max(pauseAfter(rateOf(r), r.fulls), spread);
+        r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
+    }
+
+    private double pauseAfter(double rate, int run) {
         // Guards against refusals feeding on themselves where refused calls use up the limit, and many relays
-        // back at one told moment: in a run the pause grows past this relay's even part of the limit, and
-        // after a wait as long as an outage the first calls spread like trials.
-        double one = SECOND / max(0.1, rateOf(r) > 0 ? rateOf(r) : 4);
-        double growth = Math.pow(2 + min(2, relays / 24.0), min(9, r.fulls - 1));
-        double pause = min(max(2 * SECOND, 1.5 * relays * one),
-            max(120 * MS, min(relays / 8.0, 6) * one) * growth);
-        pause = wait > SHUT_AFTER ? max(pause, trialGap(call.endpoint) - 2 * SECOND) : pause;
-        pause *= wait > 0 ? chance() : 0.75 + chance() / 2;
-        r.waitUntil = max(r.waitUntil, now + wait + (long) pause);
+        // back at one moment: in a run the pause grows past this relay's even part of the limit.
+        double one = SECOND / max(0.1, rate > 0 ? rate : 4);
+        double growth = Math.pow(2 + min(2, relays / 24.0), min(9, run - 1)) * (0.75 + chance() / 2);
+        return min(max(2 * SECOND, 1.5 * relays * one), max(120 * MS, min(relays / 8.0, 6) * one) * growth);
     }
 
     // ---- Health and return
@@ -527,24 +523,26 @@
         lastAnswer[at] = outcome == ERROR || outcome == BROKEN ? now : lastAnswer[at];
         badRun[at]++;
         lastBad[at] = outcome;
-        if (outcome == TIMEOUT && badRun[at] > 1) {
-            lat[at] = max(lat[at], min(elapsed, 2 * lat[at]));
-        }
+        lat[at] = outcome == TIMEOUT && badRun[at] > 1 ? max(lat[at], min(elapsed, 2 * lat[at])) : lat[at];
         boolean ran = outcome != UNREACHED;
         boolean turnedAway = !ran && elapsed < connectFor;
-        if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && badRun[at] < CROWDED_RUN) {
+        int run = 0;
+        for (int i : call.to.endpoints) {
+            run += phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0;
+        }
+        long pause = (long) pauseAfter(rateOf(routeOf[at]) / max(1, routeOf[at].members), run);
+        if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
             // Guards against reading a full connection table as an outage: it turns a call away at once, a
             // silent machine lets it run into its time. Some connects still succeed, so it takes a run of
-            // failures, each tried a bit later than the last. A crash is seen that later.
+            // failures at all endpoints, each tried a bit later than the last. A crash is seen that later.
             callCap[at] = max(1, min(callCap[at], calls[at]));
-            crowdedAt[at] = now + (CROWDED_PAUSE << badRun[at]);
+            crowdedAt[at] = now + pause;
             return;
         }
         ill[at] += 0.2 * (1 - ill[at]);
         if (sickSince[at] >= 0) {
             mayHaveRun[at] |= ran;
-            long soon = turnedAway ? CROWDED_PAUSE << min(badRun[at], 16) : NEVER;
-            trialAt[at] = now + min(soon, trialGap(at));
+            trialAt[at] = now + min(turnedAway ? pause : NEVER, trialGap(at));
         } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
             // one costs more than it loses. An endpoint just back is doubted sooner.
@@ -675,7 +673,6 @@
     }
 
     private long callOffAt;
-    private static final long HOPELESS = 1500 * MS;
 
     private void afterShot(Envelope e, Call call, int outcome) {
         boolean neverRan = outcome == FULL || outcome == UNREACHED || outcome == MOOT;
@@ -803,6 +800,15 @@
             }
             routeOf[at] = isApart ? new Route() : d.shared;
             routeOf[at].tokensAt = now;
+            int health = 0;
+            for (int i : d.endpoints) {
+                health |= phase[i] != UP ? 0 : sickSince[i] >= 0 ? 1 : 2;
+            }
+            if (health == 1 && !isApart) {
+                // Guards against what all relays hold storming an endpoint listed while its fellows are down.
+                sicken(at, false);
+                trialAt[at] = now + (long) (trialGap(at) * chance());
+            }
         }
         zoneOf[at] = zone;
         if (ratesListed) {
@@ -816,9 +822,7 @@
     }
 
     private void turnPhase(int at, int phaseNow) {
-        if ((phase[at] == UP) != (phaseNow == UP)) {
-            routeOf[at].members += phaseNow == UP ? 1 : -1;
-        }
+        routeOf[at].members += (phaseNow == UP ? 1 : 0) - (phase[at] == UP ? 1 : 0);
         phase[at] = phaseNow;
     }
 
@@ -974,8 +978,6 @@
         return true;
     }
 
-    private int chosen;
-
     private Call begin(Destination d, int at) {
         Call call = new Call();
         call.endpoint = at;
@@ -984,7 +986,7 @@
         call.sentAt = now;
         slotsOut++;
         if (d.inFlight++ == 0 && now - d.lastUsed > IDLE) {
-            move(d, start);
+            move(d, cap);
             call.generation = d.generation;
         }
         d.lastUsed = now;
