Calls turned away pause longer, at all failing endpoints, unless answers were seen to follow such calls

Told from a full table, which looks the same in one call, by what follows it: there answers come soon, in a crash none. Change: a share kept of calls turned away that an answer followed; while it is low the pause after such a call is a step longer, for every endpoint that fails. Harms the first seconds where tables are full.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -17,7 +17,7 @@
  * caller's. docs/design.md explains the mechanism and each exception with its condition.
  */
 public final class Logic {
-    private static final int UP = 0;
+    private static final int UP = 0, NO_CAP = 1 << 20, CROWDED_RUN = 4, CHOICE = 8;
     private static final long MS = 1_000, SECOND = 1_000_000, NEVER = Long.MAX_VALUE / 4;
 
     // The design's own figures: where a window starts and ends, how it is cut and raised, and how often.
@@ -84,6 +84,7 @@
     private final long seed;
     private long now, drawn, turns, ordered, alarmAt = NEVER;
     private int slotsOut, open, chosen;
+    private boolean listWhole;
     private Envelope[] envelopes = new Envelope[64];
     private Destination[] destinations = new Destination[16];
     private final ArrayList<Destination> holding = new ArrayList<>(), filled = new ArrayList<>();
@@ -179,7 +180,7 @@
         }
     }
 
-    /** An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope. */
+    // An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope.
     private static final long GIVE_UP_AHEAD = 40 * MS;
 
     private Destination destination(int index) {
@@ -369,7 +370,6 @@
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
     private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
-    private static final double USUAL_LAT = 0.5 * SECOND;
 
     private int pick(Destination d, Envelope e) {
         int best = -1;
@@ -489,6 +489,7 @@
         if (outcome == FULFILLED || outcome == FULL) {
             lastAnswer[at] = now;
             credit[at] = min(CREDIT_MOST, credit[at] + (outcome == FULL ? 1 : CREDIT_GAIN));
+            crowding += badRun[at] > 0 && lastBad[at] == UNREACHED ? 0.2 * (1 - crowding) : 0;
         }
         if (outcome == FULL) {
             trialAt[at] = routeOf[at].waitUntil;
@@ -530,13 +531,17 @@
         for (int i : call.to.endpoints) {
             run += phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0;
         }
+        crowding *= turnedAway && run > 1 ? 0.9 : 1;
+        run += crowding > 0.3 ? 0 : 1;
         long pause = (long) pauseAfter(rateOf(routeOf[at]) / max(1, routeOf[at].members), run);
         if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
-            // Guards against reading a full connection table as an outage: it turns a call away at once, a
-            // silent machine lets it run into its time. Some connects still succeed, so it takes a run of
-            // failures at all endpoints, each tried a bit later than the last. A crash is seen that later.
+            // Guards against reading a full connection table, which turns calls away at once, as an outage:
+            // it takes a run of failures over all endpoints. Where answers were seldom seen to follow such
+            // calls it is a crash, and all pause longer.
             callCap[at] = max(1, min(callCap[at], calls[at]));
-            crowdedAt[at] = now + pause;
+            for (int i : call.to.endpoints) {
+                crowdedAt[i] = badRun[i] > 0 && routeOf[i] == routeOf[at] ? now + pause : crowdedAt[i];
+            }
             return;
         }
         ill[at] += 0.2 * (1 - ill[at]);
@@ -550,11 +555,10 @@
         }
     }
 
-    private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04;
+    private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04, USUAL_LAT = 0.5 * SECOND;
     private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
-    private double lost;
+    private double lost, crowding = 0.33;
     private long renewUntil;
-    private static final int NO_CAP = 1 << 20, CROWDED_RUN = 4, CHOICE = 8;
 
     private void sicken(int at, boolean ran) {
         sickSince[at] = now;
@@ -709,17 +713,15 @@
             calls[call.endpoint]--;
             callsOut.remove(call);
         }
-        Route r = routeOf[call.endpoint];
         int at = call.endpoint;
+        Route r = routeOf[at];
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
             && (now - crowdedAt[at] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
             // one that would hardly be used again before it closes by itself only keeps others out.
             out.close(at);
         }
-        if (limit >= 0) {
-            r.told = !(r.told > 0) || limit == 0 ? limit : r.told + 0.2 * (limit - r.told);
-        }
+        r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
         if (outcome == FULL) {
             if (!call.learnt) {
                 refused(r, call, wait);
@@ -747,14 +749,12 @@
         }
     }
 
-    /** No probe or note is sent yet: nothing hangs on either. */
     public void probed(int endpoint, int outcome, long elapsed, double left, double limit) { }
 
     public void noted(int relay, byte[] text) { }
 
     // ---- List
 
-    private boolean listWhole;
     private long askAt = NEVER, askBackoff;
 
     private void askBy(long at) {
@@ -857,7 +857,7 @@
     // ---- The turn
 
     public void due() {
-        alarmAt = now >= alarmAt ? NEVER : alarmAt;
+        alarmAt = now < alarmAt ? alarmAt : NEVER;
     }
 
     /** Closes a round: what time alone decides, then whatever may go out goes. */
