--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -394,9 +394,7 @@
             return NEVER;
         }
         long from = max(r.waitUntil, crowdedAt[at]);
-        if (r.tokens < 1) {
-            from = max(from, now + 1 + (long) ((1 - r.tokens) / r.pace * SECOND));
-        }
+        from = r.tokens < 1 ? max(from, now + 1 + (long) ((1 - r.tokens) / r.pace * SECOND)) : from;
         if (sickSince[at] >= 0) {
             from = max(from, trialAt[at]);
         } else if (backSince[at] >= 0 && budget[at] < 1) {
@@ -457,6 +455,8 @@
             double even = rateOf(r) / relays, own = PACE_START * even;
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
+        // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
+        r.tokens -= min(1, relays / 50.0) * chance();
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
         double pause = max(pauseAfter(rateOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
