A connect that ran into its time speaks for the destination's endpoints not heard since

Change as the title says. Could harm where one endpoint of several is cut off alone; a trial mends it.

--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -11,10 +11,9 @@
 
 /**
  * Every decision of one relay. A caller hands in what happened (the clock by {@link #at}, then the public
- * methods below) and closes each round with {@link #turn}, in which envelopes go out; what is to be done is
- * asked of {@link Egress}, the interface; {@link Settings} is what the relay is told at start. No threads.
- * Envelopes, endpoints, destinations, offerings, tenants, kinds, zones and keys are small indices of the
- * caller's. docs/design.md explains the mechanism and each exception with its condition.
+ * methods below) and closes each round with {@link #turn}; what is to be done is asked of {@link Egress},
+ * the interface; {@link Settings} is what the relay is told. No threads. Envelopes, endpoints and all else
+ * named are small indices of the caller's. docs/design.md explains the mechanism and each exception.
  */
 public final class Logic {
     private static final int UP = 0, NO_CAP = 1 << 20, CROWDED_RUN = 4, CHOICE = 8;
@@ -69,7 +68,7 @@
         double window = cap;
         boolean filled, ready;
         long lastUsed, wakeAt = NEVER;
-        Route shared;
+        final Route shared = new Route();
         /** Two for each offering: those in time in order of arrival, then the late. */
         final List<ArrayDeque<Envelope>> lines = new ArrayList<>();
 
@@ -129,9 +128,7 @@
         connectFor = s.connectTimeout > 0 ? s.connectTimeout - s.connectTimeout / 8 : NEVER;
         idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
-        if (s.listAsked) {
-            askBy(now);
-        }
+        askBy(s.listAsked ? now : NEVER);
     }
 
     public void at(long clock) {
@@ -550,8 +547,14 @@
             trialAt[at] = now + min(turnedAway ? pause : NEVER, trialGap(at));
         } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
-            // one costs more than it loses. An endpoint just back is doubted sooner.
-            sicken(at, ran);
+            // one costs more than it loses. An endpoint just back is doubted sooner. A connect that ran into
+            // its time speaks for all of the route not heard since: they mostly go together.
+            boolean all = !ran && !turnedAway;
+            for (int i : call.to.endpoints) {
+                if (i == at || all && routeOf[i] == routeOf[at] && lastAnswer[i] < call.sentAt) {
+                    sicken(i, ran);
+                }
+            }
         }
     }
 
@@ -795,9 +798,6 @@
             d.endpoints = copyOf(d.endpoints, d.endpoints.length + 1);
             d.endpoints[d.endpoints.length - 1] = at;
             d.bundle = kind < bundles.length ? max(1, bundles[kind]) : 1;
-            if (!isApart && d.shared == null) {
-                d.shared = new Route();
-            }
             routeOf[at] = isApart ? new Route() : d.shared;
             routeOf[at].tokensAt = now;
             int health = 0;
