--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -489,7 +489,7 @@
             crowding += badRun[at] > 0 && lastBad[at] == UNREACHED ? 0.2 * (1 - crowding) : 0;
         }
         if (outcome == FULL) {
-            trialAt[at] = routeOf[at].waitUntil;
+            trialAt[at] = max(trialAt[at], routeOf[at].waitUntil);
             return;
         }
         if (outcome == FULFILLED) {
