--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -802,7 +802,7 @@
             routeOf[at].tokensAt = now;
             int health = 0;
             for (int i : d.endpoints) {
-                health |= phase[i] != UP ? 0 : sickSince[i] >= 0 ? 1 : 2;
+                health |= sickSince[i] >= 0 ? 1 : phase[i] == UP ? 2 : 0;
             }
             if (health == 1 && !isApart) {
                 // Guards against what all relays hold storming an endpoint listed while its fellows are down.
