--- a/src/main/java/yewpath/Logic.java
+++ b/src/main/java/yewpath/Logic.java
@@ -81,7 +81,7 @@
 
     private final Egress out;
     private final long seed;
-    private long now, drawn, turns, ordered, alarmAt = NEVER;
+    private long now, drawn, turns, ordered, callOffAt, renewUntil, alarmAt = NEVER;
     private int slotsOut, open, chosen;
     private boolean listWhole;
     private Envelope[] envelopes = new Envelope[64];
@@ -128,7 +128,9 @@
         connectFor = s.connectTimeout > 0 ? s.connectTimeout - s.connectTimeout / 8 : NEVER;
         idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
         askAgain = s.askEvery > 0 ? min(SECOND, s.askEvery / 8) : SECOND;
-        askBy(s.listAsked ? now : NEVER);
+        if (s.listAsked) {
+            askBy(now);
+        }
     }
 
     public void at(long clock) {
@@ -367,7 +369,6 @@
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
     private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
-
     private int pick(Destination d, Envelope e) {
         int best = -1;
         double sum = 0;
@@ -561,7 +562,6 @@
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04, USUAL_LAT = 0.5 * SECOND;
     private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS;
     private double lost, crowding = 0.33;
-    private long renewUntil;
 
     private void sicken(int at, boolean ran) {
         sickSince[at] = now;
@@ -638,7 +638,7 @@
     private void send(Envelope e, Call call) {
         unhold(e);
         int at = call.endpoint;
-        long within = patience(e, at);
+        out.send(e.id, at, patience(e, at));
         credit[at] = max(0, credit[at] - min(1, e.shots));
         e.shots++;
         e.call = call;
@@ -646,7 +646,6 @@
         call.left++;
         call.to.sentUnder++;
         e.next = outcome -> afterShot(e, call, outcome);
-        out.send(e.id, at, within);
     }
 
     /**
@@ -679,8 +678,6 @@
         }
     }
 
-    private long callOffAt;
-
     private void afterShot(Envelope e, Call call, int outcome) {
         boolean neverRan = outcome == FULL || outcome == UNREACHED || outcome == MOOT;
         Settings.Offering o = offerings[e.offering];
@@ -710,14 +707,14 @@
         }
         e.call = null;
         Destination d = call.to;
+        int at = call.endpoint;
+        Route r = routeOf[at];
         if (--call.left == 0) {
             slotsOut--;
             d.inFlight--;
-            calls[call.endpoint]--;
+            calls[at]--;
             callsOut.remove(call);
         }
-        int at = call.endpoint;
-        Route r = routeOf[at];
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
             && (now - crowdedAt[at] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
@@ -738,7 +735,7 @@
         if (!call.learnt) {
             call.learnt = true;
             learn(call, outcome, elapsed);
-            listen(call.endpoint);
+            listen(at);
         }
         rouse(d);
         if (e.line != null && (outcome == TIMEOUT || outcome == BROKEN || outcome == CANCELLED)) {
@@ -917,10 +914,11 @@
 
     private void sleep(Destination d) {
         long wake = NEVER;
+        boolean full = room(d) <= 0;
         for (int at : d.endpoints) {
             long from = opensAt(at);
             from = from <= now && sickSince[at] >= 0 ? trialAt[at] + LONE_TRIAL + 1 : from;
-            wake = from > now && room(d) > 0 ? min(wake, from) : wake;
+            wake = from > now && !full ? min(wake, from) : wake;
         }
         if (wake < NEVER && (wake < d.wakeAt || d.wakeAt <= now)) {
             long due = wake;
