SIGHUP reads the configuration anew: discovery moves, for the list and for notices

Checked: the platform's default for SIGHUP runs the hook of SIGTERM; Serve.start handled nothing else. Watch.discovery and Notices.platform were final, so a handler alone would not have been enough. Change: Serve handles HUP by Config.again(), Relay.discoveryAt hands the address to Watch.move (goes on from its version) and Notices.move (what has no answer goes again). NODE_DISCOVERY is the start's environment, so the file wins there. A bad file is logged.

--- a/src/main/java/yewpath/directory/Watch.java
+++ b/src/main/java/yewpath/directory/Watch.java
@@ -15,7 +15,7 @@
 public final class Watch {
     private final Loop loop;
     private final Limits limits;
-    private final InetSocketAddress discovery;
+    private InetSocketAddress discovery;
     private final Listing.Hearer hearer;
     private final Runnable failed;
     private long version;
@@ -44,6 +44,15 @@
         ask("/registry/instances?follow=1&since=" + version, true);
     }
 
+    /** The list stays in use; what has changed since is asked for at the new address. */
+    public void move(InetSocketAddress address) {
+        discovery = address;
+        backoff = 0;
+        if (caller != null) {
+            follow();
+        }
+    }
+
     public void fetch() {
         ask("/registry/instances", false);
     }
--- a/src/main/java/yewpath/outcome/Notices.java
+++ b/src/main/java/yewpath/outcome/Notices.java
@@ -19,7 +19,7 @@
 public final class Notices {
     private final Loop loop;
     private final Limits limits;
-    private final InetSocketAddress platform;
+    private InetSocketAddress platform;
     private final Consumer<Entry> told;
     private final ArrayDeque<Entry> owed = new ArrayDeque<>();
     private Caller caller;
@@ -40,6 +40,15 @@
         next();
     }
 
+    /** What has no answer yet goes again, to the new address: hearing of an end twice does no harm. */
+    public void move(InetSocketAddress address) {
+        platform = address;
+        if (caller != null) {
+            backoff = 0;
+            caller.close();
+        }
+    }
+
     public int owed() {
         return owed.size();
     }
--- a/src/main/java/yewpath/relay/Config.java
+++ b/src/main/java/yewpath/relay/Config.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 import yewpath.boot.Boot;
 import yewpath.boot.Malformed;
@@ -31,8 +32,12 @@
     public final Limits limits;
     /** The list of endpoints as last held, in discovery's form; null where none is told. */
     final Object known;
+    private final String file;
+    private final Map<String, String> environment;
 
-    private Config(Map<String, Object> json, Map<String, String> environment) {
+    private Config(String file, Map<String, Object> json, Map<String, String> environment) {
+        this.file = file;
+        this.environment = environment;
         Map<String, String> flat = Json.flat(json);
         name = pick(environment, flat, "NODE_NAME", "name", "relay");
         listen = Listing.address(pick(environment, flat, "NODE_LISTEN", "listen", null));
@@ -71,6 +76,16 @@
         return value;
     }
 
+    /**
+     * The same file as it stands now. What it says of discovery wins this time: the environment is that of the
+     * start, and can't have moved with it.
+     */
+    Config again() throws Fault {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove("NODE_DISCOVERY");
+        return read(file, rest);
+    }
+
     /** {@code file} may be null, which leaves it to $NODE_CONFIG. */
     public static Config read(String file, Map<String, String> environment) throws Fault {
         String path = file != null ? file : environment.get("NODE_CONFIG");
@@ -78,7 +93,7 @@
             throw new Fault("no configuration: name a file by --config or $NODE_CONFIG");
         }
         try {
-            return new Config(Json.object(Json.read(Files.readAllBytes(Path.of(path)))), environment);
+            return new Config(path, Json.object(Json.read(Files.readAllBytes(Path.of(path)))), environment);
         } catch (IOException e) {
             throw new Fault(path + " cannot be read: " + e.getMessage());
         } catch (IllegalArgumentException | Malformed e) {
--- a/src/main/java/yewpath/relay/Relay.java
+++ b/src/main/java/yewpath/relay/Relay.java
@@ -1,6 +1,7 @@
 package yewpath.relay;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -364,6 +365,13 @@
         acts.add(follow ? watch::follow : watch::fetch);
     }
 
+    /** Held envelopes, calls and clients know nothing of it. */
+    void discoveryAt(InetSocketAddress address) {
+        Logger.info("configuration read anew: discovery at {}", address);
+        watch.move(address);
+        notices.move(address);
+    }
+
     // ---- Closing
 
     void close(CountDownLatch done) {
--- a/src/main/java/yewpath/relay/Serve.java
+++ b/src/main/java/yewpath/relay/Serve.java
@@ -9,6 +9,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import sun.misc.Signal;
 import yewpath.intake.Door;
 import yewpath.ledger.Ledger;
 import yewpath.loop.Loop;
@@ -29,6 +30,7 @@
         Exception[] failure = {null};
         Relay[] relay = {null};
         InetSocketAddress[] at = {null};
+        Signal.handle(new Signal("HUP"), hangUp -> reload(loop, relay, config));
         loop.thread().execute(() -> {
             try {
                 relay[0] = new Relay(config, loop, ledger);
@@ -47,6 +49,20 @@
         return at[0];
     }
 
+    /** A new file that cannot be read leaves all as it was. */
+    private static void reload(Loop loop, Relay[] relay, Config config) {
+        try {
+            Config anew = config.again();
+            loop.thread().execute(() -> {
+                if (relay[0] != null) {
+                    relay[0].discoveryAt(anew.discovery);
+                }
+            });
+        } catch (Config.Fault e) {
+            Logger.error("the new configuration is left out, the old one stays: {}", e.getMessage());
+        }
+    }
+
     private static void end(Loop loop, Relay relay, Config config) {
         CountDownLatch quiet = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
--- a/src/test/java/yewpath/RestartTest.java
+++ b/src/test/java/yewpath/RestartTest.java
@@ -315,6 +315,44 @@
         assertEquals(new Ledger(folder, 400_000, 600_000, 512).size(), 0, "a record with a wrong sum was read");
     }
 
+    @Test
+    public void aNewConfigurationMovesDiscoveryAndNothingElse() throws Exception {
+        Stand.Server slow = stand.endpoint(1, got -> {
+            Stand.pause(700);
+            return OK;
+        });
+        stand.endpoint(2, got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+        stand.environment.put("NODE_DISCOVERY", stand.discovery.address());
+        stand.noticeStatus = 0;
+        stand.start();
+        try (Socket client = stand.connect()) {
+            assertEquals(Stand.ask(client, Stand.envelope("m1", "order", 1, 9000, "x")).status(), 202);
+            assertEquals(Stand.ask(client, Stand.envelope("m2", "status", 9, 7900, "x")).status(), 202);
+            stand.handIn("m3", "order", 2, 9000);
+            until("the old address leaves a notice without answer", 2000, () -> stand.discovery.posts().size() == 1);
+            stand.reload("{\"discovery\":");
+            until("a bad file is told", 2000, () -> Files.readString(stand.folder.resolve("log")).contains("left out"));
+            assertEquals(stand.watched.size(), 1, "a bad file had effect");
+            Stand.Server old = stand.discovery;
+            Stand.Server moved = stand.moveDiscovery();
+            stand.noticeStatus = 204;
+            stand.reload(stand.config());
+            until("the list is followed there", 1000, () -> stand.watched.size() == 2);
+            assertTrue(stand.watched.get(1).contains("since=1"), "" + stand.watched);
+            until("notices go there", 1000, () -> stand.ended("m3", "given_up") && moved.posts().size() > 0);
+            int before = old.got.size();
+            Stand.Server up = new Stand.Server(got -> OK);
+            stand.tell(false, stand.entry("e9", up.address(), 9, "plain", "up"));
+            until("what was held is delivered where the new one says", 2000, () -> up.got.size() == 1);
+            assertEquals(Stand.ask(client, Stand.envelope("m4", "status", 9, 7900, "x")).status(), 202);
+            until("the call that was out came to its end", 2000, () -> stand.figure("open") == 0);
+            assertEquals(slow.got.size() + " " + slow.connections.get(), "1 1");
+            assertEquals(old.got.size(), before, "the old address is still asked");
+            up.close();
+            old.close();
+        }
+    }
+
     @Test
     public void badConfigurationEndsWithOneLine() throws Exception {
         String good = stand.config();
--- a/src/test/java/yewpath/Stand.java
+++ b/src/test/java/yewpath/Stand.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -178,7 +177,7 @@
     record Answer(int status, Map<String, String> headers, String body) { }
 
     final Path folder;
-    final Server discovery;
+    volatile Server discovery;
     /** The lines a new watch starts with, then what {@link #tell} adds; and what was asked for. */
     private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
     final List<String> watched = new CopyOnWriteArrayList<>();
@@ -190,6 +189,8 @@
     private final Map<String, Server> endpoints = new LinkedHashMap<>();
     private final Map<String, String> entries = new LinkedHashMap<>();
     String limits = "";
+    /** Set for the relay beside its configuration. */
+    final Map<String, String> environment = new LinkedHashMap<>();
     String settings = "";
     String mode = "pushed";
     String weight = "50.0";
@@ -232,6 +233,13 @@
         return SILENCE;
     }
 
+    /** Discovery answers at another address from now on; the one before stays open. */
+    Server moveDiscovery() throws IOException {
+        watches.clear();
+        discovery = new Server(this::platform);
+        return discovery;
+    }
+
     private static void chunk(OutputStream out, String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         out.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
@@ -306,7 +314,9 @@
         watches.clear();
         Path config = folder.resolve("config.json");
         Files.writeString(config, config());
-        process = yewpath("serve", "--config", config.toString()).redirectOutput(folder.resolve("log").toFile()).start();
+        ProcessBuilder builder = yewpath("serve", "--config", config.toString());
+        builder.environment().putAll(environment);
+        process = builder.redirectOutput(folder.resolve("log").toFile()).start();
         until("the relay is ready", 10_000, () -> {
             try {
                 return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
@@ -317,6 +327,12 @@
         until("it follows the list", 5_000, () -> !watches.isEmpty());
     }
 
+    /** Has the running relay read a configuration of these words. */
+    void reload(String config) throws Exception {
+        Files.writeString(folder.resolve("config.json"), config);
+        signal("HUP");
+    }
+
     void kill() throws Exception {
         process.destroyForcibly().waitFor();
     }
@@ -393,9 +409,9 @@
         }
     }
 
-    static void until(String what, long withinMs, BooleanSupplier met) throws InterruptedException {
+    static void until(String what, long withinMs, Met met) throws Exception {
         long end = System.nanoTime() + withinMs * 1_000_000;
-        while (!met.getAsBoolean()) {
+        while (!met.yet()) {
             if (System.nanoTime() > end) {
                 throw new AssertionError("not within " + withinMs + " ms: " + what);
             }
@@ -426,6 +442,10 @@
         void run() throws IOException;
     }
 
+    interface Met {
+        boolean yet() throws IOException;
+    }
+
     private static void thread(Work work) {
         Thread thread = new Thread(() -> {
             try {
