Bad clients: 404 for unlisted destinations, an end within 3 s, and no room of others taken

Checked: the taken ones name destinations in no list (Endpoints.destination made an index for any number, Relay.take held them until expiry); silent connections stayed 75 s (Limits.clientIdle), unfinished requests 10 s (requestWithin). Door.leastBusy closed the longest quiet one, which is a usual client's kept connection before a silent one's. Ruled out: parser faults, all answered at once. Conclusion: done, but for a burst of connects at the descriptor limit, which is looked at next.

--- a/src/main/java/yewpath/intake/Door.java
+++ b/src/main/java/yewpath/intake/Door.java
@@ -55,12 +55,14 @@
         visits.add(new Visit(loop, limits, desk, connection, visits::remove));
     }
 
-    /** Full: one between requests goes, the longest quiet first, else the oldest of those still sending. */
+    /** Full: the one that can be missed most goes, of several the longest quiet. */
     private void leastBusy() {
+        long now = loop.now();
         Visit goes = null;
         for (Visit visit : visits) {
-            goes = !visit.isAnswering() && (goes == null || visit.isBetween() && !goes.isBetween()
-                || visit.isBetween() == goes.isBetween() && visit.quietSince() < goes.quietSince()) ? visit : goes;
+            int missed = visit.missed(now);
+            goes = missed < Visit.NEEDED && (goes == null || missed < goes.missed(now)
+                || missed == goes.missed(now) && visit.quietSince() < goes.quietSince()) ? visit : goes;
         }
         if (goes != null) {
             goes.close();
--- a/src/main/java/yewpath/intake/Visit.java
+++ b/src/main/java/yewpath/intake/Visit.java
@@ -12,6 +12,8 @@
 
 /** One client's connection: reads a request, waits for its answer, then reads the next. */
 final class Visit implements Link.Owner {
+    /** One that waits for its answer is never closed for want of room. */
+    static final int NEEDED = 4;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     private final Loop loop;
@@ -20,7 +22,10 @@
     private final Consumer<Visit> left;
     private final Parser parser;
     private final Link link;
+    private final long connectedAt;
     private long since;
+    private int skipped;
+    private boolean asked;
     private boolean answering;
     private boolean leaving;
     private boolean told;
@@ -31,16 +36,27 @@
         this.desk = desk;
         this.left = left;
         parser = new Parser(true, limits.headMost(), limits.bodyMost());
-        since = loop.now();
+        connectedAt = since = loop.now();
         link = new Link(connection, limits.ringFirst(), limits.ringMost(), this);
     }
 
-    boolean isAnswering() {
-        return answering;
+    private boolean isBetween() {
+        return !answering && parser.untouched() && link.in.size() == 0;
     }
 
-    boolean isBetween() {
-        return !answering && parser.untouched() && link.in.size() == 0;
+    /**
+     * How much it would be missed. Guards against those that connect and say nothing, or ask once and stay, taking
+     * the room of the others: clients that mean to ask do so at once, and a close after 2 s is expected.
+     */
+    int missed(long now) {
+        if (answering) {
+            return NEEDED;
+        }
+        if (!isBetween()) {
+            return 3;
+        }
+        long quiet = now - since;
+        return quiet > (asked ? limits.idleLeast() : limits.speechWithin()) ? 0 : asked ? 1 : 2;
     }
 
     long quietSince() {
@@ -49,10 +65,11 @@
 
     void checkTime(long now) {
         long waited = now - since;
-        if (leaving && waited > limits.lingerFor() || isBetween() && waited > limits.clientIdle()
-            || !link.allWritten() && waited > limits.requestWithin()) {
+        if (leaving && waited > limits.lingerFor() || !link.allWritten() && waited > limits.requestWithin()
+            || !leaving && isBetween() && waited > (asked ? limits.clientIdle() : limits.silentFor())) {
             close();
-        } else if (!leaving && !answering && !isBetween() && waited > limits.requestWithin()) {
+        } else if (!leaving && !answering && !isBetween()
+            && now - (asked ? since : connectedAt) > limits.requestWithin()) {
             refuse(408);
         }
     }
@@ -60,7 +77,12 @@
     @Override
     public void came() {
         if (leaving) {
+            skipped += link.in.size();
             link.in.skip(link.in.size());
+            if (skipped > limits.lingerMost()) {
+                // It had time to see its answer; reading all that some would send keeps the others waiting.
+                close();
+            }
             return;
         }
         try {
@@ -70,7 +92,7 @@
                     sayContinue();
                     return;
                 }
-                answering = true;
+                answering = asked = true;
                 since = loop.now();
                 request();
             }
@@ -128,6 +150,11 @@
             answer(400);
             return;
         }
+        if (!desk.knowsDestination(destination)) {
+            // Held, it would take the room of others until its expiry, and each such number would be kept for good.
+            answer(404);
+            return;
+        }
         desk.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"), destination, within,
             parser.takeBody(), new Desk.Reply() {
                 @Override
--- a/src/main/java/yewpath/relay/Config.java
+++ b/src/main/java/yewpath/relay/Config.java
@@ -31,7 +31,7 @@
     public final Boot boot;
     public final Limits limits;
     /** The list of endpoints as last held, in discovery's form; null where none is told. */
-    final Object known;
+    Object known;
     private final String file;
     private final Map<String, String> environment;
 
--- a/src/main/java/yewpath/relay/Endpoints.java
+++ b/src/main/java/yewpath/relay/Endpoints.java
@@ -18,6 +18,8 @@
     private final Delivery delivery;
     private final Names ids = new Names();
     private final Names destinations = new Names();
+    /** Those that a list has named; a restored envelope may bring others. */
+    private final BitSet served = new BitSet();
     private String[] zones = new String[32];
     private int[] bundles = new int[32];
     /** What a wait binds: a destination, or one endpoint where routes are apart. */
@@ -41,6 +43,11 @@
         return version;
     }
 
+    boolean knowsDestination(String name) {
+        int at = destinations.find(name);
+        return at >= 0 && served.get(at);
+    }
+
     int destination(String name) {
         return destinations.of(name);
     }
@@ -82,6 +89,7 @@
         zones[at] = zone;
         bundles[at] = kindAt < boot.settings.bundle.length ? boot.settings.bundle[kindAt] : 1;
         boolean apart = kindAt < boot.settings.routesApart.length && boot.settings.routesApart[kindAt];
+        served.set(destinations.of(destination));
         routes[at] = apart ? -1 - at : destinations.of(destination);
         delivery.place(at, address);
         if (phase != UP) {
--- a/src/main/java/yewpath/relay/Relay.java
+++ b/src/main/java/yewpath/relay/Relay.java
@@ -144,6 +144,11 @@
         return boot.offerings.find(offering) >= 0;
     }
 
+    @Override
+    public boolean knowsDestination(String number) {
+        return endpoints.knowsDestination(number);
+    }
+
     @Override
     public String figures() {
         return "{\"open\":" + envelopes.open() + ",\"calls_out\":" + delivery.callsOut() + ",\"endpoint_links\":"
--- a/src/test/java/yewpath/DeliveryTest.java
+++ b/src/test/java/yewpath/DeliveryTest.java
@@ -267,6 +267,7 @@
     @Test
     public void anExpiredEnvelopeHasItsEndInTime() throws Exception {
         stand.endpoint(1, got -> SILENCE);
+        stand.closed(9);
         stand.start();
         long start = System.nanoTime();
         stand.handIn("x1", "order", 1, 1000);
@@ -277,6 +278,7 @@
 
     @Test
     public void aHoldNearlyFullHandsBackWithAPause() throws Exception {
+        stand.closed(9);
         stand.start();
         int refused = 0;
         for (int i = 0; i < 60; i++) {
--- a/src/test/java/yewpath/IntakeTest.java
+++ b/src/test/java/yewpath/IntakeTest.java
@@ -72,6 +72,7 @@
         return new Object[][] {
             {404, "POST /elsewhere HTTP/1.1\r\n" + FIELDS + "\r\n"},
             {404, "GET / HTTP/1.1\r\n\r\n"},
+            {404, Stand.envelope("x3", "status", 77, 800, "no list names its destination")},
             {405, "GET /status HTTP/1.1\r\n" + FIELDS + "\r\n"},
             {405, "POST /health/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n"},
             {400, "POST /status HTTP/1.1\r\nRequest-Timeout: 800m\r\nX-Addressing: dest=1\r\n\r\n"},
@@ -195,6 +196,59 @@
         }
     }
 
+    @Test
+    public void silentAndSlowClientsAreEndedWithinThreeSecondsOfConnecting() throws Exception {
+        try (Stand usual = new Stand()) {
+            usual.endpoint(1, got -> OK);
+            usual.start();
+            long start = System.nanoTime();
+            try (Socket silent = usual.connect(); Socket late = usual.connect(); Socket kept = usual.connect()) {
+                assertEquals(Stand.ask(kept, "GET /health/live HTTP/1.1\r\n\r\n").status(), 200);
+                Stand.pause(1500);
+                late.getOutputStream().write("POST /status HTTP/1.1\r\nRequest-Id".getBytes(StandardCharsets.ISO_8859_1));
+                assertTrue(Stand.closes(silent, 1400), "silent, and still open");
+                assertTrue(System.nanoTime() - start > 2_000_000_000L, "closed before its 2 s were over");
+                assertEquals(Stand.answer(late).status(), 408);
+                assertTrue(System.nanoTime() - start < 3_000_000_000L, "told too late");
+                assertEquals(Stand.ask(kept, "GET /health/live HTTP/1.1\r\n\r\n").status(), 200);
+            }
+        }
+    }
+
+    @Test
+    public void silentConnectionsDoNotTakeTheRoomOfThoseThatAsk() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        try (Socket kept = stand.connect()) {
+            assertEquals(Stand.ask(kept, "GET /health/live HTTP/1.1\r\n\r\n").status(), 200);
+            for (int i = 0; i < 9; i++) {
+                silent.add(stand.connect());
+                Stand.pause(120);
+            }
+            assertEquals(Stand.ask(kept, "GET /health/live HTTP/1.1\r\n\r\n").status(), 200);
+            assertTrue(Stand.closes(silent.get(0), 100));
+        } finally {
+            for (Socket socket : silent) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    public void doesNotReadAllThatARefusedClientGoesOnSending() throws Exception {
+        byte[] much = new byte[1 << 20];
+        int sent = 0;
+        try (Socket socket = stand.connect()) {
+            assertEquals(Stand.ask(socket, "POST /status HTTP/1.1\r\n" + FIELDS + "Content-Length: 60000000\r\n\r\n")
+                .status(), 413);
+            for (; sent < 60; sent++) {
+                socket.getOutputStream().write(much);
+            }
+        } catch (IOException closed) {
+            assertTrue(sent < 30, sent + " MB were read");
+        }
+        assertTrue(sent < 60, "all was read");
+    }
+
     @Test
     public void boundsItsConnectionsAndStillAnswersTheNewest() throws Exception {
         List<Socket> sockets = new ArrayList<>();
--- a/src/test/java/yewpath/RestartTest.java
+++ b/src/test/java/yewpath/RestartTest.java
@@ -142,6 +142,7 @@
 
     @Test
     public void whatExpiredMeanwhileHasItsEndAtOnce() throws Exception {
+        stand.closed(1);
         stand.start();
         stand.handIn("e1", "status", 1, 900);
         stand.kill();
@@ -156,6 +157,7 @@
             Stand.pause(1000);
             return OK;
         });
+        stand.closed(9);
         stand.start();
         try (Socket kept = stand.connect()) {
             assertEquals(Stand.ask(kept, Stand.envelope("s1", "order", 1, 9000, "x")).status(), 202);
@@ -232,6 +234,7 @@
     @Test
     public void aFullLedgerRefusesNewOnesAndKeepsTheOld() throws Exception {
         stand.limits = ",\"disk_mb\":0.3";
+        stand.closed(1);
         stand.start();
         int taken = 0;
         int refused = 0;
@@ -253,6 +256,7 @@
     @Test
     public void aRushAtOneMomentKeepsWithinTheDisk() throws Exception {
         stand.limits = ",\"disk_mb\":0.3";
+        stand.closed(1);
         stand.start();
         List<Socket> sockets = new ArrayList<>();
         try {
@@ -324,6 +328,7 @@
         stand.endpoint(2, got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
         stand.environment.put("NODE_DISCOVERY", stand.discovery.address());
         stand.noticeStatus = 0;
+        stand.closed(9);
         stand.start();
         try (Socket client = stand.connect()) {
             assertEquals(Stand.ask(client, Stand.envelope("m1", "order", 1, 9000, "x")).status(), 202);
--- a/src/test/java/yewpath/Stand.java
+++ b/src/test/java/yewpath/Stand.java
@@ -282,6 +282,11 @@
         entries.put(name, entry(name, address, destination, "plain", "up"));
     }
 
+    /** A destination that is listed, where nothing may be sent. */
+    void closed(int destination) {
+        entries.put("c" + destination, entry("c" + destination, "127.0.0.1:1", destination, "plain", "draining"));
+    }
+
     String config() {
         return "{\"name\":\"n0\",\"listen\":\"" + RELAY + ":" + port + "\",\"discovery\":\"" + discovery.address()
             + "\",\"state\":\"" + folder.resolve("state") + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
