Spoilt answers: the first line's 200 counts, what does not end is closed after 0.3 s

Checked with stand-ins: an unreadable head, 3 GB or an unended head behind a first line of 200 counted as broken (Call.saidDelivered asked Parser.headKnown, which needs the whole head); a body shorter than its length held a once-only envelope's slot until its expiry (no time-out for those); bytes behind an answer that came while a round was at work were read as the next call's answer (test with the round held up). Ruled out: lengths over the bound, which were already left at once. Change: Parser.statusSaid; an answer's first line is read leniently; Call.part closes 0.3 s after an answer began; Caller.isQuiet looks before a connection is used again; a bulk answer counts whole or not at all; load figures must be finite.

--- a/src/main/java/yewpath/delivery/Answers.java
+++ b/src/main/java/yewpath/delivery/Answers.java
@@ -1,5 +1,6 @@
 package yewpath.delivery;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
@@ -61,21 +62,24 @@
         for (String pair : told.substring(5).split(",")) {
             String[] parts = pair.strip().split("=", 2);
             if (parts.length == 2 && parts[0].equals(field) && parts[1].matches("-?[0-9]*\\.?[0-9]+([eE][+-]?[0-9]+)?")) {
-                return Double.parseDouble(parts[1]);
+                double figure = Double.parseDouble(parts[1]);
+                return Double.isFinite(figure) ? figure : Double.NaN;
             }
         }
         return Double.NaN;
     }
 
-    /** Hands on what a bulk answer tells; an answer that cannot be read tells nothing. */
+    /** Hands on what a bulk answer tells; one that cannot be read to its end tells nothing. */
     static void each(byte[] body, BiConsumer<String, String> told) {
+        Map<String, String> ends = new LinkedHashMap<>();
         try {
             for (Object item : Json.list(Json.read(body))) {
                 Map<String, Object> fields = Json.object(item);
-                told.accept(Json.text(fields.get("id")), Json.text(fields.get("state")));
+                ends.put(Json.text(fields.get("id")), Json.text(fields.get("state")));
             }
         } catch (IllegalArgumentException garbled) {
             return;
         }
+        ends.forEach(told);
     }
 }
--- a/src/main/java/yewpath/delivery/Call.java
+++ b/src/main/java/yewpath/delivery/Call.java
@@ -4,6 +4,7 @@
 import yewpath.Egress;
 import yewpath.http.Caller;
 import yewpath.http.Parser;
+import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
 /** One call that is out, with one envelope or several; each hears of its own end once. */
@@ -25,6 +26,7 @@
     }
 
     private final Loop loop;
+    private final Limits limits;
     private final Delivery delivery;
     final int endpoint;
     final Caller caller;
@@ -35,10 +37,12 @@
     private double left = Double.NaN;
     private double limit = Double.NaN;
     private int open;
+    private Loop.Timer restWithin;
 
-    Call(Loop loop, Delivery delivery, int endpoint, Caller caller, List<Cargo> cargo, long endsAt,
+    Call(Loop loop, Limits limits, Delivery delivery, int endpoint, Caller caller, List<Cargo> cargo, long endsAt,
          List<String> reportFields) {
         this.loop = loop;
+        this.limits = limits;
         this.delivery = delivery;
         this.endpoint = endpoint;
         this.reportFields = reportFields;
@@ -90,6 +94,9 @@
                 open--;
                 one.ended(outcome, wait, over, left, limit);
                 if (open == 0) {
+                    if (restWithin != null) {
+                        restWithin.callOff();
+                    }
                     delivery.over(this);
                 }
             }
@@ -109,6 +116,21 @@
         }
     }
 
+    /**
+     * Guards against answers that begin and don't end: a head without end, a body shorter than its length. What has
+     * come says all there is, and the call would hold its slot until the envelope's expiry.
+     */
+    @Override
+    public void part(Parser answer) {
+        if (!answer.untouched()) {
+            restWithin = restWithin == null ? loop.after(limits.answerRest(), caller::close) : restWithin;
+        } else if (restWithin != null) {
+            // What began was a 1xx answer: the one that counts may be long in coming.
+            restWithin.callOff();
+            restWithin = null;
+        }
+    }
+
     @Override
     public void whole(Parser answer) {
         left = Answers.report(answer, reportFields, "x0");
--- a/src/main/java/yewpath/delivery/Delivery.java
+++ b/src/main/java/yewpath/delivery/Delivery.java
@@ -57,7 +57,7 @@
     public Call call(int endpoint, List<Call.Cargo> cargo, long endsAt) {
         long within = Math.max(1, endsAt - loop.now());
         Caller caller = connection(endpoint);
-        Call call = new Call(loop, this, endpoint, caller, cargo, endsAt, reportFields);
+        Call call = new Call(loop, limits, this, endpoint, caller, cargo, endsAt, reportFields);
         callsOut.add(call);
         caller.ask(cargo.size() == 1 ? single(endpoint, cargo.get(0), within) : bulk(endpoint, cargo, within), call);
         return call;
@@ -96,14 +96,19 @@
     }
 
     private Caller connection(int endpoint) {
+        List<Caller> spoilt = new ArrayList<>();
         // The one used last: the others grow old and close.
         for (var newest = idle.descendingIterator(); newest.hasNext();) {
             Idle one = newest.next();
             if (one.endpoint == endpoint && loop.now() - one.since < limits.endpointIdle()) {
                 newest.remove();
-                return one.caller;
+                if (one.caller.isQuiet()) {
+                    return one.caller;
+                }
+                spoilt.add(one.caller);
             }
         }
+        spoilt.forEach(Caller::close);
         if (links >= limits.endpointLinks() && !idle.isEmpty()) {
             idle.peekFirst().caller.close();
         }
--- a/src/main/java/yewpath/http/Caller.java
+++ b/src/main/java/yewpath/http/Caller.java
@@ -84,9 +84,17 @@
         link.write(bytes);
     }
 
-    /** The status of an answer that has begun to come; 0 before. */
+    /** The status that an answer's first line says, though the rest stays away or can't be read; 0 before. */
     public int answersWith() {
-        return parser.headKnown() ? parser.status() : 0;
+        return parser.statusSaid();
+    }
+
+    /**
+     * Whether nothing has come since the last answer. Guards against what belongs to that answer, a second copy of
+     * it above all, being read as the answer to the next request.
+     */
+    public boolean isQuiet() {
+        return link != null && link.isQuiet();
     }
 
     /** Whether the first byte of the request has been written. */
--- a/src/main/java/yewpath/http/Link.java
+++ b/src/main/java/yewpath/http/Link.java
@@ -79,6 +79,15 @@
         }
     }
 
+    /** Looks whether anything waits to be read; what does stays in the ring, and the link is not to be used on. */
+    public boolean isQuiet() {
+        try {
+            return !closed && in.size() == 0 && in.fill(source) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Takes up reading again after the owner has emptied a full ring. */
     public void readOn() {
         if (!closed && !ended && !in.isFull()) {
--- a/src/main/java/yewpath/http/Parser.java
+++ b/src/main/java/yewpath/http/Parser.java
@@ -43,6 +43,11 @@
         return status;
     }
 
+    /** Of an answer whose first line has come, whatever follows it; 0 before. */
+    public int statusSaid() {
+        return stage == Stage.START ? 0 : status;
+    }
+
     /** Whether the connection outlives this message. */
     public boolean lasting() {
         return lasting;
@@ -53,7 +58,7 @@
     }
 
     public boolean untouched() {
-        return stage == Stage.START && headBytes == 0;
+        return stage == Stage.START && headBytes == 0 && scanned == 0;
     }
 
     public String header(String name) {
@@ -140,13 +145,18 @@
         if (headBytes > headMost) {
             throw new HttpFault(431, "head too long");
         }
-        need(end > 0 && in.at(end - 1) == '\r', "a line that does not end in CR LF");
+        boolean whole = end > 0 && in.at(end - 1) == '\r';
+        int length = whole ? end - 1 : end;
         byte[] line = new byte[end + 1];
         in.take(line, 0, end + 1);
-        for (int i = 0; i < end - 1; i++) {
-            need(line[i] >= ' ' || line[i] == '\t' || line[i] < 0, "a control character");
+        // What an answer's first line says holds however badly it is written.
+        if (requests || stage != Stage.START) {
+            need(whole, "a line that does not end in CR LF");
+            for (int i = 0; i < length; i++) {
+                need(line[i] >= ' ' || line[i] == '\t' || line[i] < 0, "a control character");
+            }
         }
-        return new String(line, 0, end - 1, StandardCharsets.ISO_8859_1);
+        return new String(line, 0, length, StandardCharsets.ISO_8859_1);
     }
 
     private static void need(boolean met, String otherwise) throws HttpFault {
--- a/src/main/java/yewpath/loop/Limits.java
+++ b/src/main/java/yewpath/loop/Limits.java
@@ -7,7 +7,7 @@
                      int bodyMost, int idMost, int lineMost, long ledgerLive, long ledgerAnew, int ledgerAside,
                      long requestWithin, long clientIdle, long silentFor, long idleLeast, long speechWithin,
                      long lingerFor, int lingerMost, long sweepEvery, long connectWithin,
-                     long endpointIdle, long watchSilence, long retryFirst, long retryMost, long noticeWithin,
+                     long endpointIdle, long answerRest, long watchSilence, long retryFirst, long retryMost, long noticeWithin,
                      int noticesAtOnce, long drainFresh, long drainMost, long drainLeast) {
     private static final long MS = 1_000, SECOND = 1_000_000;
     private static final int RING = 16 << 10, BODY = 64 << 10;
@@ -34,6 +34,8 @@
             connectTimeout > 0 ? connectTimeout : SECOND,
             // Ahead of the endpoint's own clock by what a busy machine and the network may add.
             idle - Math.min(SECOND, idle / 8),
+            // An endpoint writes an answer in one go, late or not.
+            300 * MS,
             // Discovery says something every 2 s unless it is down, and counts as heard 6 s after a change.
             // Silence and the longest pause before the next try stay under that together.
             3 * SECOND, 100 * MS, SECOND,
--- a/src/test/java/yewpath/DeliveryTest.java
+++ b/src/test/java/yewpath/DeliveryTest.java
@@ -9,15 +9,27 @@
 import static yewpath.Stand.until;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import yewpath.delivery.Call;
+import yewpath.delivery.Delivery;
+import yewpath.loop.Limits;
+import yewpath.loop.Loop;
 
 /** Calls to endpoints, the list they stand in, and the notices of what was not delivered. */
 public final class DeliveryTest extends Stand.Tests {
@@ -104,6 +116,72 @@
         assertTrue(stand.notices.isEmpty(), "" + stand.notices);
     }
 
+    @DataProvider
+    public Object[][] spoilt() {
+        String ok = "HTTP/1.1 200 OK\r\n";
+        return new Object[][] {
+            {"a head that cannot be read", true, ok + "no colon\r\n\r\n"},
+            {"a head that does not end", true, ok + "X-A: " + "y".repeat(9000)},
+            {"a head that stays away", true, ok + "X-A: y\r\n"},
+            {"a length that does not fit", true, ok + "Content-Length: 9\r\n\r\nabc"},
+            {"no length", true, ok + "\r\nabc"},
+            {"3 GB", true, ok + "Content-Length: 3221225472\r\n\r\n" + "z".repeat(9000)},
+            {"a first line badly ended", true, "HTTP/1.1 200 \1\nContent-Length: 0\r\n\r\n"},
+            {"noise", false, "\1\2\3 200 noise without a line's end"},
+            {"noise behind 1xx", false, "HTTP/1.1 102 Processing\r\n\r\nnoise\r\n\r\n"},
+            {"an error that does not end", false, "HTTP/1.1 429 X\r\nRetry-After: 1\r\nContent-Length: 5\r\n\r\n"},
+        };
+    }
+
+    @Test(dataProvider = "spoilt")
+    public void aSpoiltAnswerIsTrueOnlyWhereItsFirstLineSays200(String what, boolean delivered, String bytes)
+            throws Exception {
+        Stand.Server endpoint = stand.endpoint(1, got -> bytes);
+        stand.start();
+        assertEquals(stand.handIn("s1", "order", 1, 9000), 202);
+        // Else it would keep its slot until its expiry.
+        until(what, 1500, () -> stand.figure("open") == 0);
+        assertEquals(stand.figure("fulfilled"), delivered ? 1 : 0, what);
+        until("its end is told", 500, () -> delivered || stand.ended("s1", "given_up"));
+        assertEquals(endpoint.got.size(), 1);
+    }
+
+    @Test
+    public void whatComesBehindAGoodAnswerIsNotTheNextOnes() throws Exception {
+        Stand.Server endpoint = stand.endpoint(1, got -> OK);
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        Loop loop = new Loop(worker.getIoThread());
+        Delivery delivery = new Delivery(loop, Limits.of(name -> 0, 1_000_000, 2_000_000), List.of());
+        AtomicInteger outcomes = new AtomicInteger();
+        Call.Cargo cargo = (Call.Cargo) Proxy.newProxyInstance(Call.Cargo.class.getClassLoader(),
+            new Class<?>[] {Call.Cargo.class}, (proxy, method, args) -> switch (method.getName()) {
+                case "id" -> "q" + outcomes.get();
+                case "body" -> new byte[0];
+                case "expiry" -> loop.now() + 5_000_000;
+                case "ended" -> outcomes.addAndGet((int) args[0] == Egress.FULFILLED ? 1 : 100);
+                case "equals" -> proxy == args[0];
+                default -> null;
+            });
+        loop.thread().execute(() -> {
+            delivery.place(0, new InetSocketAddress("127.0.0.1", endpoint.port()));
+            delivery.call(0, List.of(cargo), loop.now() + 5_000_000);
+        });
+        until("the first is delivered", 2000, () -> outcomes.get() == 1);
+        loop.thread().execute(() -> {
+            try {
+                // Comes while a round is at work, which sees nothing of it by itself.
+                endpoint.sockets.get(0).getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                outcomes.addAndGet(100);
+            }
+            Stand.pause(100);
+            delivery.call(0, List.of(cargo), loop.now() + 5_000_000);
+        });
+        until("the next is delivered", 2000, () -> outcomes.get() == 2);
+        worker.shutdownNow();
+        assertEquals(endpoint.got.size() + " " + endpoint.connections.get(), "2 2");
+    }
+
     @Test
     public void anAnswerJustAheadOfAResetCounts() throws Exception {
         Stand.Server endpoint = stand.endpoint("e1", 1, "plain", got -> OK);
