The heap follows the memory configured, whole from the start; a rush of connects is bounded

Checked: heap 32 MB, 8.6 used, old generation touched page by page (its mapping's resident size is the growth); the acceptor thread accepts all that wait before Door counts them. Ruled out: metaspace (1 MB), code cache (4 MB), direct buffers. Change: deploy/run.sh takes two fifths of memory_mb as heap, touched at the start; the listener stops accepting at the clients' room and twelve; three fifths of the descriptors for clients, two fifths for endpoints, as the third for endpoints was met on churn.

--- a/src/main/java/yewpath/loop/Limits.java
+++ b/src/main/java/yewpath/loop/Limits.java
@@ -3,7 +3,7 @@
 import java.util.function.ToDoubleFunction;
 
 /** Every bound on sizes, counts and times of the network code; filled once at start, handed down from there. */
-public record Limits(int clientLinks, int endpointLinks, int backlog, int ringFirst, int ringMost, int headMost,
+public record Limits(int clientLinks, int acceptAhead, int endpointLinks, int backlog, int ringFirst, int ringMost, int headMost,
                      int bodyMost, int idMost, int lineMost, long ledgerLive, long ledgerAnew, int ledgerAside,
                      long requestWithin, long clientIdle, long silentFor, long idleLeast, long speechWithin,
                      long lingerFor, int lingerMost, long sweepEvery, long connectWithin,
@@ -20,11 +20,11 @@
         double disk = or(told, "disk_mb", 64) * (1 << 20);
         long idle = connectionIdle > 0 ? connectionIdle : 10 * SECOND;
         return new Limits(
-            // Usual clients hold a third of all descriptors at most; as many again are for those that say nothing.
-            // What is left suffices for endpoints: a call more closes the connection that lay idle longest.
+            // Usual clients hold a third of all descriptors at most; what is over is for those that say nothing.
+            // Two fifths suffice for endpoints: a call more closes the connection that lay idle longest.
             // Each client's connection may hold a ring and a body: all of them together must fit the heap.
-            (int) or(told, "client_links", Math.max(1, Math.min(links * 2 / 3, heap / 5 * 2 / (RING + BODY)))),
-            Math.max(1, links / 3), 512, 2 << 10, RING, 8 << 10, BODY, 128, 1 << 20,
+            (int) or(told, "client_links", Math.max(1, Math.min(links * 3 / 5, heap / 5 * 2 / (RING + BODY)))),
+            12, Math.max(1, links * 2 / 5), 512, 2 << 10, RING, 8 << 10, BODY, 128, 1 << 20,
             // Written anew at over half of the disk, with at most 0.4 of it still live: old and new fit together.
             (long) (0.40 * disk), (long) (0.55 * disk), 512,
             // A client is owed an error or a close within 3 s of connecting, but 2 s of silence are its own.
--- a/src/test/java/yewpath/IntakeTest.java
+++ b/src/test/java/yewpath/IntakeTest.java
@@ -1,6 +1,7 @@
 package yewpath;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static yewpath.Stand.OK;
 
@@ -8,6 +9,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.AfterClass;
@@ -233,6 +235,29 @@
         }
     }
 
+    @Test
+    public void aRushOfConnectsLeavesDescriptorsForAllElse() throws Exception {
+        List<Socket> rush = new ArrayList<>();
+        try (Stand crowded = new Stand()) {
+            crowded.limits = ",\"sockets\":128";
+            crowded.descriptors = 128;
+            Stand.Server up = crowded.endpoint(1, got -> OK);
+            crowded.start();
+            crowded.signal("STOP");
+            for (int i = 0; i < 400; i++) {
+                rush.add(crowded.connect());
+            }
+            crowded.signal("CONT");
+            assertEquals(crowded.handIn("after", "status", 1, 5000), 202);
+            Stand.until("delivered", 2000, () -> up.got.size() == 1);
+            assertFalse(Files.readString(crowded.folder.resolve("log")).contains("Too many open files"));
+        } finally {
+            for (Socket socket : rush) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     public void doesNotReadAllThatARefusedClientGoesOnSending() throws Exception {
         byte[] much = new byte[1 << 20];
--- a/src/test/java/yewpath/RestartTest.java
+++ b/src/test/java/yewpath/RestartTest.java
@@ -358,6 +358,20 @@
         }
     }
 
+    @Test
+    public void theHeapFollowsTheMemoryThatIsConfigured() throws Exception {
+        Path java = Files.writeString(stand.folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        for (int told : new int[] {192, 96}) {
+            Path config = Files.writeString(stand.folder.resolve("c.json"), stand.config().replace(":192", ": " + told));
+            ProcessBuilder run = new ProcessBuilder("sh", "deploy/run.sh");
+            run.environment().put("PATH", stand.folder + ":" + System.getenv("PATH"));
+            run.environment().put("NODE_CONFIG", config.toString());
+            String flags = new String(run.start().getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(flags.contains("-Xmx" + told * 2 / 5 + "m ") && flags.contains("serve"), flags);
+        }
+    }
+
     @Test
     public void badConfigurationEndsWithOneLine() throws Exception {
         String good = stand.config();
--- a/src/test/java/yewpath/Stand.java
+++ b/src/test/java/yewpath/Stand.java
@@ -192,6 +192,8 @@
     /** Set for the relay beside its configuration. */
     final Map<String, String> environment = new LinkedHashMap<>();
     String settings = "";
+    /** What the system lets the relay have; 0 for whatever it lets this process have. */
+    int descriptors;
     String mode = "pushed";
     String weight = "50.0";
     int port;
@@ -290,7 +292,7 @@
     String config() {
         return "{\"name\":\"n0\",\"listen\":\"" + RELAY + ":" + port + "\",\"discovery\":\"" + discovery.address()
             + "\",\"state\":\"" + folder.resolve("state") + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-            + "\"memory_mb\":192,\"sockets\":1024" + (limits.contains("disk_mb") ? "" : ",\"disk_mb\":3") + limits + "},"
+            + "\"memory_mb\":192" + (limits.contains("sockets") ? "" : ",\"sockets\":1024") + (limits.contains("disk_mb") ? "" : ",\"disk_mb\":3") + limits + "},"
             + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries.values()) + "]},"
             + "\"settings\":{\"balancers\":1,\"ordinal\":0,\"discovery\":\"" + mode + "\",\"weights\":\"nominal\",\"zones\":[\"z\"],"
             + "\"kinds\":[\"plain\",\"bundled\"],\"family_info\":{\"max_calls\":8,\"bundle_max\":[1,20],"
@@ -321,6 +323,9 @@
         Files.writeString(config, config());
         ProcessBuilder builder = yewpath("serve", "--config", config.toString());
         builder.environment().putAll(environment);
+        if (descriptors > 0) {
+            builder.command().addAll(0, List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
+        }
         process = builder.redirectOutput(folder.resolve("log").toFile()).start();
         until("the relay is ready", 10_000, () -> {
             try {
