--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -6,6 +6,6 @@
 cd "$(dirname "$0")/.."
 told=$(tr ',{}' '\n\n\n' < "${NODE_CONFIG:-/dev/null}" | sed -n 's/^[[:space:]]*"memory_mb"[[:space:]]*:[[:space:]]*\([0-9]*\).*/\1/p' | head -n 1)
 heap=$((${told:-160} * 2 / 5))
-exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:SharedArchiveFile=target/yewpath.jsa -Xshare:auto -Xlog:disable \
+exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:SharedArchiveFile=relay/target/yewpath.jsa -Xshare:auto -Xlog:disable \
     -Xss256k -Xms"${heap}m" -Xmx"${heap}m" -XX:+AlwaysPreTouch -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m \
-    -XX:MaxDirectMemorySize=8m -XX:-UsePerfData -jar target/yewpath.jar serve
+    -XX:MaxDirectMemorySize=8m -XX:-UsePerfData -jar relay/target/yewpath.jar serve
--- a/src/main/java/yewpath/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -1,4 +1,4 @@
-package yewpath;
+package yewpath.command;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
--- a/src/main/java/yewpath/delivery/Answers.java
+++ b/relay/src/main/java/yewpath/delivery/Answers.java
@@ -6,7 +6,7 @@
 import java.util.function.BiConsumer;
 import yewpath.Egress;
 import yewpath.http.Parser;
-import yewpath.json.Json;
+import yewpath.json.Tokens;
 
 /** What an endpoint's answer says, in Logic's outcomes. */
 final class Answers {
@@ -73,10 +73,23 @@
     static void each(byte[] body, BiConsumer<String, String> told) {
         Map<String, String> ends = new LinkedHashMap<>();
         try {
-            for (Object item : Json.list(Json.read(body))) {
-                Map<String, Object> fields = Json.object(item);
-                ends.put(Json.text(fields.get("id")), Json.text(fields.get("state")));
-            }
+            Tokens.read(body, at -> {
+                Tokens.list(at, item -> {
+                    String[] fields = new String[2];
+                    Tokens.object(item, (name, value) -> {
+                        if (name.equals("id") || name.equals("state")) {
+                            fields[name.equals("id") ? 0 : 1] = Tokens.text(value);
+                        } else {
+                            value.skipChildren();
+                        }
+                    });
+                    if (fields[0] == null || fields[1] == null) {
+                        throw Tokens.fault(item, "an end without id or state");
+                    }
+                    return ends.put(fields[0], fields[1]);
+                });
+                return ends;
+            });
         } catch (IllegalArgumentException garbled) {
             return;
         }
--- a/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -1,18 +1,16 @@
 package yewpath.delivery;
 
+import com.fasterxml.jackson.core.Base64Variants;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Base64;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.StringJoiner;
 import yewpath.http.Caller;
 import yewpath.http.Writer;
-import yewpath.json.Json;
+import yewpath.json.Tokens;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -85,14 +83,22 @@
     }
 
     private byte[] bulk(int endpoint, List<Call.Cargo> cargo, long within) {
-        StringJoiner items = new StringJoiner(",", "[", "]");
-        for (Call.Cargo one : cargo) {
-            items.add("{\"id\":" + Json.quote(one.id())
-                + (one.key() == null ? "" : ",\"key\":" + Json.quote(one.key()))
-                + ",\"body\":\"" + Base64.getEncoder().encodeToString(one.body()) + "\"}");
-        }
+        byte[] items = Tokens.write(out -> {
+            out.writeStartArray();
+            for (Call.Cargo one : cargo) {
+                out.writeStartObject();
+                out.writeStringField("id", one.id());
+                if (one.key() != null) {
+                    out.writeStringField("key", one.key());
+                }
+                out.writeFieldName("body");
+                out.writeBinary(Base64Variants.MIME_NO_LINEFEEDS, one.body(), 0, one.body().length);
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        });
         return Writer.request("POST", "/inbox/bulk", addresses[endpoint]).with("Request-Timeout", within + "u")
-            .with("Content-Type", "application/json").done(items.toString().getBytes(StandardCharsets.UTF_8));
+            .with("Content-Type", "application/json").done(items);
     }
 
     private Caller connection(int endpoint) {
--- a/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -7,7 +7,6 @@
 import yewpath.http.Caller;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
-import yewpath.json.Json;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -114,17 +113,12 @@
             return;
         }
         try {
-            Object json = Json.read(bytes);
-            loop.gather(() -> read(json));
-        } catch (IllegalArgumentException garbled) {
-            resync(garbled);
-        }
-    }
-
-    private void read(Object json) {
-        try {
-            version = Listing.read(json, hearer);
-            backoff = 0;
+            Listing list = Listing.read(bytes);
+            loop.gather(() -> {
+                list.playTo(hearer);
+                version = list.version;
+                backoff = 0;
+            });
         } catch (IllegalArgumentException garbled) {
             resync(garbled);
         }
--- a/src/main/java/yewpath/intake/Desk.java
+++ b/relay/src/main/java/yewpath/intake/Desk.java
@@ -18,7 +18,7 @@
     boolean knowsDestination(String number);
 
     /** One line of figures for whoever watches over the relay. */
-    String figures();
+    byte[] figures();
 
     void handIn(String id, String offering, String tenant, String key, String destination, long within, byte[] body,
                 Reply reply);
--- a/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -126,7 +126,7 @@
                 answer(Writer.answer(405).with("Allow", "GET"), new byte[0]);
             } else if (path.equals("/stats")) {
                 answer(Writer.answer(200).with("Content-Type", "application/json"),
-                    desk.figures().getBytes(StandardCharsets.UTF_8));
+                    desk.figures());
             } else {
                 answer(Writer.answer(path.equals("/health/live") || !desk.isClosing() ? 200 : 503), new byte[0]);
             }
--- a/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -1,7 +1,8 @@
 package yewpath.outcome;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +11,7 @@
 import yewpath.http.Caller;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
-import yewpath.json.Json;
+import yewpath.json.Tokens;
 import yewpath.ledger.Entry;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
@@ -59,17 +60,19 @@
         }
         busy = true;
         List<Entry> batch = new ArrayList<>();
-        StringBuilder lines = new StringBuilder();
         while (!owed.isEmpty() && batch.size() < atOnce) {
             Entry entry = owed.poll();
             batch.add(entry);
-            line(lines, entry);
         }
         if (caller == null || caller.isClosed()) {
             caller = new Caller(loop, limits, platform, limits.bodyMost());
         }
         byte[] request = Writer.request("POST", "/v1/outcomes", platform)
-            .with("Content-Type", "application/json").done(lines.toString().getBytes(StandardCharsets.UTF_8));
+            .with("Content-Type", "application/json").done(Tokens.write(out -> {
+                for (Entry entry : batch) {
+                    line(out, entry);
+                }
+            }));
         // Longer after each failure, or a platform that is only slow would never be heard.
         Loop.Timer within = loop.after(limits.noticeWithin() + backoff, caller::close);
         caller.ask(request, new Caller.Answer() {
@@ -87,13 +90,15 @@
         });
     }
 
-    private static void line(StringBuilder out, Entry entry) {
-        out.append("{\"message\":").append(Json.quote(entry.id)).append(",\"outcome\":\"")
-            .append(entry.handedBack ? "handed_back" : "given_up").append('"');
+    private static void line(JsonGenerator out, Entry entry) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("message", entry.id);
+        out.writeStringField("outcome", entry.handedBack ? "handed_back" : "given_up");
         if (entry.handedBack && entry.pause > 0) {
-            out.append(",\"retry_in_ms\":").append((entry.pause + 999) / 1000);
+            out.writeNumberField("retry_in_ms", (entry.pause + 999) / 1000);
         }
-        out.append("}\n");
+        out.writeEndObject();
+        out.writeRaw('\n');
     }
 
     private void answered(List<Entry> batch, int status) {
--- a/src/main/java/yewpath/relay/Check.java
+++ b/relay/src/main/java/yewpath/relay/Check.java
@@ -8,7 +8,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
-import yewpath.json.Json;
+import yewpath.directory.Listing;
 
 /**
  * A start on trial: tells whether a configuration serves. The build runs it too, so that the classes a start
@@ -27,7 +27,7 @@
         aside.put("NODE_STATE", state.toString());
         Config config = Config.read(file, aside);
         // A destination that exists, and an endpoint to which nothing is sent.
-        config.known = Json.read(("{\"version\":0,\"full\":true,\"servers\":[{\"id\":\"check\",\"addr\":\"127.0.0.1:1\","
+        config.known = Listing.read(("{\"version\":0,\"full\":true,\"servers\":[{\"id\":\"check\",\"addr\":\"127.0.0.1:1\","
             + "\"zone\":\"check\",\"kind\":\"check\",\"cell\":0,\"state\":\"draining\",\"weight\":1.0,"
             + "\"started_ms\":0}]}").getBytes(StandardCharsets.UTF_8));
         InetSocketAddress at = Serve.start(config);
--- a/src/main/java/yewpath/relay/Config.java
+++ b/relay/src/main/java/yewpath/relay/Config.java
@@ -1,5 +1,6 @@
 package yewpath.relay;
 
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -9,7 +10,7 @@
 import yewpath.boot.Boot;
 import yewpath.boot.Malformed;
 import yewpath.directory.Listing;
-import yewpath.json.Json;
+import yewpath.json.Tokens;
 import yewpath.loop.Limits;
 
 /** What a relay is told at its start, by file and environment; the latter wins. */
@@ -30,15 +31,28 @@
     public final long seed;
     public final Boot boot;
     public final Limits limits;
-    /** The list of endpoints as last held, in discovery's form; null where none is told. */
-    Object known;
+    /** The list of endpoints as last held; null where none is told. */
+    Listing known;
     private final String file;
     private final Map<String, String> environment;
 
-    private Config(String file, Map<String, Object> json, Map<String, String> environment) {
+    private Config(String file, byte[] json, Map<String, String> environment) {
         this.file = file;
         this.environment = environment;
-        Map<String, String> flat = Json.flat(json);
+        Map<String, String> flat = new HashMap<>();
+        Map<String, String> settings = new HashMap<>();
+        Tokens.read(json, at -> {
+            Tokens.object(at, (name, value) -> {
+                if (name.equals("known") && value.currentToken() != JsonToken.VALUE_NULL) {
+                    known = Listing.read(value);
+                } else if (name.equals("settings")) {
+                    Tokens.object(value, (inner, setting) -> Tokens.flatten(inner, setting, settings::put));
+                } else {
+                    Tokens.flatten(name, value, flat::put);
+                }
+            });
+            return null;
+        });
         name = pick(environment, flat, "NODE_NAME", "name", "relay");
         listen = Listing.address(pick(environment, flat, "NODE_LISTEN", "listen", null));
         discovery = Listing.address(pick(environment, flat, "NODE_DISCOVERY", "discovery", null));
@@ -48,13 +62,12 @@
             throw new IllegalArgumentException("seed is not hexadecimal: " + told);
         }
         seed = Long.parseUnsignedLong(told, 16);
-        boot = new Boot(Json.flat(Json.object(json.get("settings"))));
+        boot = new Boot(settings);
         if (boot.settings.offerings.length == 0) {
             throw new IllegalArgumentException("settings name no request_classes");
         }
         limits = Limits.of(name -> figure(flat, "limits." + name), boot.settings.connectTimeout,
             boot.settings.connectionIdle);
-        known = json.get("known");
     }
 
     private static double figure(Map<String, String> flat, String path) {
@@ -93,7 +106,7 @@
             throw new Fault("no configuration: name a file by --config or $NODE_CONFIG");
         }
         try {
-            return new Config(path, Json.object(Json.read(Files.readAllBytes(Path.of(path)))), environment);
+            return new Config(path, Files.readAllBytes(Path.of(path)), environment);
         } catch (IOException e) {
             throw new Fault(path + " cannot be read: " + e.getMessage());
         } catch (IllegalArgumentException | Malformed e) {
--- a/src/main/java/yewpath/relay/Endpoints.java
+++ b/relay/src/main/java/yewpath/relay/Endpoints.java
@@ -36,11 +36,13 @@
     }
 
     /** Takes the list that the configuration brings, which may be old, and returns its version. */
-    long start(Object known) {
+    long start(Listing known) {
         starting = true;
-        long version = known == null ? 0 : Listing.read(known, this);
+        if (known != null) {
+            known.playTo(this);
+        }
         starting = false;
-        return version;
+        return known == null ? 0 : known.version;
     }
 
     boolean knowsDestination(String name) {
--- a/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -16,6 +16,7 @@
 import yewpath.delivery.Delivery;
 import yewpath.directory.Watch;
 import yewpath.intake.Desk;
+import yewpath.json.Tokens;
 import yewpath.ledger.Entry;
 import yewpath.ledger.Ledger;
 import yewpath.loop.Limits;
@@ -150,11 +151,22 @@
     }
 
     @Override
-    public String figures() {
-        return "{\"open\":" + envelopes.open() + ",\"calls_out\":" + delivery.callsOut() + ",\"endpoint_links\":"
-            + delivery.links() + ",\"notices_owed\":" + notices.owed() + ",\"ledger_bytes\":" + ledger.bytes()
-            + ",\"rounds\":" + rounds + ",\"taken\":" + takenEver + ",\"fulfilled\":" + fulfilledEver
-            + ",\"deferred\":" + deferredEver + ",\"aborted\":" + abortedEver + "}\n";
+    public byte[] figures() {
+        return Tokens.write(out -> {
+            out.writeStartObject();
+            out.writeNumberField("open", envelopes.open());
+            out.writeNumberField("calls_out", delivery.callsOut());
+            out.writeNumberField("endpoint_links", delivery.links());
+            out.writeNumberField("notices_owed", notices.owed());
+            out.writeNumberField("ledger_bytes", ledger.bytes());
+            out.writeNumberField("rounds", rounds);
+            out.writeNumberField("taken", takenEver);
+            out.writeNumberField("fulfilled", fulfilledEver);
+            out.writeNumberField("deferred", deferredEver);
+            out.writeNumberField("aborted", abortedEver);
+            out.writeEndObject();
+            out.writeRaw('\n');
+        });
     }
 
     @Override
--- a/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -364,7 +364,7 @@
         assertTrue(java.toFile().setExecutable(true));
         for (int told : new int[] {192, 96}) {
             Path config = Files.writeString(stand.folder.resolve("c.json"), stand.config().replace(":192", ": " + told));
-            ProcessBuilder run = new ProcessBuilder("sh", "deploy/run.sh");
+            ProcessBuilder run = new ProcessBuilder("sh", "../deploy/run.sh");
             run.environment().put("PATH", stand.folder + ":" + System.getenv("PATH"));
             run.environment().put("NODE_CONFIG", config.toString());
             String flags = new String(run.start().getInputStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -310,7 +310,7 @@
     static ProcessBuilder yewpath(String... args) {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("surefire.test.class.path",
-            System.getProperty("java.class.path")), "yewpath.Main"));
+            System.getProperty("java.class.path")), "yewpath.command.Main"));
         command.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
