--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -46,8 +46,13 @@
     }
 
     private static final class KeyLine {
-        final ArrayDeque<Envelope> waiting = new ArrayDeque<>();
+        final int key;
+        final ArrayDeque<Envelope> waiting = new ArrayDeque<>(2);
         long restUntil;
+
+        KeyLine(int key) {
+            this.key = key;
+        }
     }
 
     /** What limit, wait and pace belong to: a destination, or an endpoint where routes are apart. */
@@ -161,7 +166,7 @@
         open++;
         later(e.giveUpAt, () -> giveUp(e));
         if (o.ordered() && key >= 0) {
-            e.line = keyLines.computeIfAbsent(key, k -> new KeyLine());
+            e.line = keyLines.computeIfAbsent(key, KeyLine::new);
             e.line.waiting.add(e);
             e.line.restUntil = doubtSince >= 0 ? now + settle : e.line.restUntil;
         }
@@ -297,9 +302,24 @@
             } else if (e.call == null) {
                 e.line.waiting.remove(e);
             }
+            letGo(e.line);
         }
     }
 
+    /** Guards against keys long over being kept for good: nothing is known of one that neither waits nor rests. */
+    private void letGo(KeyLine line) {
+        if (line.waiting.isEmpty() && line.restUntil > now) {
+            later(line.restUntil, () -> letGo(line));
+        } else if (line.waiting.isEmpty()) {
+            keyLines.remove(line.key, line);
+        }
+    }
+
+    /** Keys of which something is kept. */
+    public int keysKnown() {
+        return keyLines.size();
+    }
+
     private boolean mayRepeat(Envelope e) {
         Settings.Offering o = offerings[e.offering];
         return e.doubtSince < 0 || o.kind() == Settings.Kind.REPEATABLE
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -113,6 +113,12 @@
                         throw new AssertionError("happened " + n + " times");
                     }
                 }
+                case "keys" -> {
+                    checks++;
+                    if (logic.keysKnown() != Integer.parseInt(w[1])) {
+                        throw new AssertionError(logic.keysKnown() + " are kept");
+                    }
+                }
                 case "mark" -> acts.clear();
                 default -> event(w, named);
             }
