Operator's file in TOML, a command line with config and events, structured logs that never block

Need: what the platform's JSON does not hold had no place, faults were told one at a time, and log lines went straight to standard error from the I/O thread. Change: yewpath.operator (catalogue, units, ranges, nearest key, all faults at once, live keys on SIGHUP), yewpath.events (closed list, JSON or text, floods summed up, a bounded queue with drops counted), Egress.health, bin/yewpath; pages made from the catalogues. Limits are filled anew on SIGHUP.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -530,6 +530,9 @@
             } else if (backSince[at] >= 0) {
                 backCap[at]++;
             }
+            if (sickSince[at] >= 0) {
+                out.health(at, true);
+            }
             sickSince[at] = -1;
             return;
         }
@@ -576,6 +579,9 @@
     private double lost, stale, crowding = 0.33;
 
     private void sicken(int at, boolean ran) {
+        if (sickSince[at] < 0) {
+            out.health(at, false);
+        }
         sickSince[at] = now;
         backSince[at] = -1;
         mayHaveRun[at] = ran;
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -284,6 +284,11 @@
             forgotten.add(endpoint);
         }
 
+        @Override
+        public void health(int endpoint, boolean well) {
+            acts.add((well ? "well " : "sick ") + endpointNames.get(endpoint));
+        }
+
         @Override
         public void alarm(long inMicros) {
             alarms.add(now + inMicros);
--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -5,90 +5,188 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
+import yewpath.events.Event;
+import yewpath.operator.Operator;
+import yewpath.operator.OperatorFile;
+import yewpath.operator.Reference;
 import yewpath.relay.Check;
 import yewpath.relay.Config;
 import yewpath.relay.Serve;
 import yewpath.wirehost.WireHost;
 
-/** The command line. */
+/**
+ * The command line. Exit codes: 0 done; 1 what was asked for went wrong; 2 the words or a file could not be
+ * understood, and nothing was started.
+ */
 public final class Main {
-    @Parameters(commandDescription = "Run one relay on sockets")
-    private static final class ServeCommand {
-        @Parameter(names = "--config", description = "Configuration file (JSON); $NODE_CONFIG where absent")
-        private String config;
+    /** Where a relay reads what it is told. */
+    private static class Told {
+        @Parameter(names = "--config", description = "The platform's configuration (JSON); $NODE_CONFIG where absent")
+        String config;
+        @Parameter(names = "--operator", description = "The operator's file (TOML); without it all is at its default")
+        String operator;
     }
 
-    @Parameters(commandDescription = "Start once on a free port with an empty folder, serve one envelope, end")
-    private static final class CheckCommand {
-        @Parameter(names = "--config", description = "Configuration file (JSON); $NODE_CONFIG where absent")
-        private String config;
+    @Parameters(commandDescription = "Run one relay on sockets until SIGTERM; SIGHUP reads both files anew")
+    private static final class ServeWord extends Told { }
+
+    @Parameters(commandDescription = "Start once on a free port with an empty folder, take one envelope, end")
+    private static final class CheckWord extends Told { }
+
+    @Parameters(commandDescription = "The operator's file: check one, show what is in force, list all keys")
+    private static final class ConfigWord { }
+
+    @Parameters(commandDescription = "Look for faults in a file, all of them at once")
+    private static final class ConfigCheckWord {
+        @Parameter(description = "FILE", required = true)
+        List<String> file = new ArrayList<>();
+    }
+
+    @Parameters(commandDescription = "The values in force, each with where it comes from")
+    private static final class ConfigShowWord {
+        @Parameter(description = "[FILE]")
+        List<String> file = new ArrayList<>();
+    }
+
+    private static class Page {
+        @Parameter(names = "--markdown", description = "As the page under docs/")
+        boolean markdown;
     }
 
+    @Parameters(commandDescription = "Every key with its default, range and meaning")
+    private static final class ConfigKeysWord extends Page { }
+
+    @Parameters(commandDescription = "Every event that the log can hold")
+    private static final class EventsWord extends Page { }
+
     @Parameters(commandDescription = "Speak the simulator's wire on standard input and output")
-    private static final class WireHostCommand { }
+    private static final class WireHostWord { }
 
     @Parameters(commandDescription = "Print the version")
-    private static final class VersionCommand { }
+    private static final class VersionWord { }
 
-    @Parameter(names = {"-h", "--help"}, help = true, description = "Print this")
+    @Parameter(names = {"-h", "--help"}, help = true, description = "Print this; after a command, its options")
     private boolean help;
 
     private Main() { }
 
     public static void main(String[] args) throws Exception {
         Main main = new Main();
-        ServeCommand serve = new ServeCommand();
-        CheckCommand check = new CheckCommand();
+        ServeWord serve = new ServeWord();
+        CheckWord check = new CheckWord();
+        EventsWord events = new EventsWord();
         JCommander line = JCommander.newBuilder().programName("yewpath").addObject(main).addCommand("serve", serve)
-            .addCommand("check", check).addCommand("version", new VersionCommand())
-            .addCommand("wirehost", new WireHostCommand()).build();
+            .addCommand("check", check).addCommand("config", new ConfigWord()).addCommand("events", events)
+            .addCommand("wirehost", new WireHostWord()).addCommand("version", new VersionWord()).build();
+        JCommander config = line.getCommands().get("config");
+        ConfigCheckWord configCheck = new ConfigCheckWord();
+        ConfigShowWord configShow = new ConfigShowWord();
+        ConfigKeysWord configKeys = new ConfigKeysWord();
+        config.addCommand("check", configCheck);
+        config.addCommand("show", configShow);
+        config.addCommand("keys", configKeys);
+        JCommander asked = helpFor(line, args);
+        if (asked != null) {
+            asked.usage();
+            if (asked == line) {
+                System.out.println("  Exit codes: 0 done; 1 it went wrong; 2 the words or a file were not understood.");
+            }
+            System.exit(0);
+        }
         try {
             line.parse(args);
         } catch (ParameterException e) {
-            fail(e.getMessage());
+            fail(e.getMessage() + " (yewpath --help lists what there is)");
         }
-        if (main.help || line.getParsedCommand() == null) {
-            line.usage();
-            System.exit(main.help ? 0 : 2);
+        if (line.getParsedCommand() == null) {
+            fail("a command is missing (yewpath --help lists them)");
         }
         switch (line.getParsedCommand()) {
-            case "serve" -> serve(serve.config, System.getenv());
-            case "check" -> check(check.config);
+            case "serve" -> serve(serve);
+            case "check" -> check(check);
+            case "config" -> {
+                if (config.getParsedCommand() == null) {
+                    fail("config needs one of check, show and keys");
+                }
+                switch (config.getParsedCommand()) {
+                    case "check" -> {
+                        operator(one(configCheck.file));
+                        System.out.println(one(configCheck.file) + ": no fault");
+                    }
+                    case "show" -> System.out.print(Reference.effective(operator(one(configShow.file))));
+                    default -> System.out.print(configKeys.markdown ? Reference.markdown() : Reference.text());
+                }
+            }
+            case "events" -> printEvents(events.markdown);
             case "wirehost" -> System.exit(WireHost.serve(System.in, System.out, System.err));
             default -> System.out.println("yewpath " + version());
         }
     }
 
-    private static void serve(String file, Map<String, String> environment) throws InterruptedException {
+    /** The command after whose words help is asked for; null where it is not. Asked before all else: what is missing does not matter then. */
+    private static JCommander helpFor(JCommander line, String[] args) {
+        JCommander at = line;
+        for (String arg : args) {
+            if (arg.equals("-h") || arg.equals("--help")) {
+                return at;
+            }
+            at = at.getCommands().getOrDefault(arg, at);
+        }
+        return null;
+    }
+
+    private static void serve(Told told) throws InterruptedException {
         try {
-            Serve.start(config(file, environment));
-        } catch (IOException e) {
+            Serve.start(Config.read(told.config, told.operator, System.getenv()));
+        } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
         }
     }
 
-    private static void check(String file) throws Exception {
+    private static void check(Told told) throws Exception {
         try {
-            System.out.println(Check.run(file, System.getenv()));
+            System.out.println(Check.run(told.config, told.operator, System.getenv()));
             System.exit(0);
         } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
         }
     }
 
-    private static Config config(String file, Map<String, String> environment) {
+    private static Operator operator(String file) {
         try {
-            return Config.read(file, environment);
-        } catch (Config.Fault e) {
-            return fail(e.getMessage());
+            return OperatorFile.read(file);
+        } catch (OperatorFile.Faults faults) {
+            faults.lines().forEach(System.err::println);
+            System.exit(2);
+            throw new IllegalStateException();
+        }
+    }
+
+    /** Null for none. */
+    private static String one(List<String> files) {
+        if (files.size() > 1) {
+            fail("one file is enough, not " + files.size());
+        }
+        return files.isEmpty() ? null : files.get(0);
+    }
+
+    private static void printEvents(boolean markdown) {
+        if (markdown) {
+            System.out.print(Event.markdown());
+            return;
+        }
+        for (Event event : Event.values()) {
+            System.out.println(event.label + "  (" + event.levelName() + ")  " + event.sentence);
         }
     }
 
-    private static <T> T fail(String message) {
-        System.err.println("yewpath: " + message.replaceAll("\\s+", " "));
+    private static void fail(String message) {
+        for (String line : message.split("\n")) {
+            System.err.println("yewpath: " + line.replaceAll("\\s+", " "));
+        }
         System.exit(2);
-        throw new IllegalStateException();
     }
 
     private static String version() {
--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -3,7 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import org.tinylog.Logger;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.http.Caller;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
@@ -126,7 +127,7 @@
 
     /** What was missed comes again: the watch is taken up anew from the last version understood. */
     private void resync(IllegalArgumentException garbled) {
-        Logger.warn("discovery: a list that cannot be read is left out: {}", garbled.getMessage());
+        Log.tell(Event.DIRECTORY_GARBLED, garbled.getMessage());
         if (caller != null) {
             caller.close();
         }
@@ -137,6 +138,7 @@
             failed.run();
         } else if (following) {
             backoff = Math.min(limits.retryMost(), Math.max(limits.retryFirst(), 2 * backoff));
+            Log.tell(Event.DIRECTORY_LOST, backoff / 1000);
             again = loop.after(backoff, this::follow);
         }
     }
--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/Door.java
@@ -5,12 +5,13 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import org.tinylog.Logger;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -47,7 +48,7 @@
                 loop.thread().execute(() -> enter(connection));
             }
         } catch (IOException e) {
-            Logger.warn("accept failed: {}", e.getMessage());
+            Log.tell(Event.CLIENT_ACCEPT_FAILED, e.getMessage());
         }
     }
 
@@ -71,6 +72,7 @@
             }
         }
         if (goes != null) {
+            Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, visits.size());
             goes.close();
         }
     }
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.xnio.StreamConnection;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.http.HttpFault;
 import yewpath.http.Link;
 import yewpath.http.Parser;
@@ -175,6 +177,7 @@
     }
 
     private void answer(int status) {
+        Log.tell(Event.CLIENT_REFUSED, status);
         answer(Writer.answer(status), new byte[0]);
     }
 
@@ -199,6 +202,7 @@
     }
 
     private void refuse(int status) {
+        Log.tell(Event.CLIENT_REFUSED, status);
         link.write(Writer.answer(status).with("Connection", "close").empty());
         leave();
     }
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -12,7 +12,8 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.tinylog.Logger;
+import yewpath.events.Event;
+import yewpath.events.Log;
 
 /**
  * The file that outlives the process: one record after another, each with its length and checksum. What was
@@ -45,7 +46,7 @@
         if (Files.exists(path)) {
             long whole = Records.play(Files.readAllBytes(path), this::restore);
             if (whole < Files.size(path)) {
-                Logger.info("ledger: {} bytes of a torn tail dropped", Files.size(path) - whole);
+                Log.tell(Event.LEDGER_TORN, Files.size(path) - whole);
             }
         }
         // A shot that was out when the process ended may have run, and may yet.
@@ -159,6 +160,8 @@
 
     /** The old file stays until the new one is whole; a kill in between leaves one of them. */
     private void writeAnew() throws IOException {
+        long begun = System.nanoTime();
+        long before = fileBytes;
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         for (Entry e : live.values()) {
             all.writeBytes(Records.whole(e));
@@ -171,8 +174,12 @@
         if (file != null) {
             file.close();
         }
+        boolean first = file == null;
         file = written;
         fileBytes = all.size();
+        if (!first) {
+            Log.tell(Event.LEDGER_COMPACTED, before, fileBytes, live.size(), (System.nanoTime() - begun) / 1_000_000);
+        }
     }
 
     private void restore(byte type, ByteBuffer fields) {
--- a/relay/src/main/java/yewpath/loop/Limits.java
+++ b/relay/src/main/java/yewpath/loop/Limits.java
@@ -1,52 +1,208 @@
 package yewpath.loop;
 
 import java.util.function.ToDoubleFunction;
+import yewpath.operator.Catalogue;
+import yewpath.operator.Operator;
 
-/** Every bound on sizes, counts and times of the network code; filled once at start, handed down from there. */
-public record Limits(int clientLinks, int acceptAhead, int endpointLinks, int backlog, int ringFirst, int ringMost, int headMost,
-                     int bodyMost, int idMost, int lineMost, long ledgerLive, long ledgerAnew, int ledgerAside,
-                     long requestWithin, long clientIdle, long silentFor, long idleLeast, long speechWithin,
-                     long lingerFor, int lingerMost, long sweepEvery, long connectWithin,
-                     long endpointIdle, long answerRest, long watchSilence, long retryFirst, long retryMost, long noticeWithin,
-                     int noticesAtOnce, long drainFresh, long drainMost, long drainLeast) {
-    private static final long MS = 1_000, SECOND = 1_000_000;
-    private static final int RING = 16 << 10, BODY = 64 << 10;
-
-    /** {@code told} gives a figure from the configuration, or 0; what it leaves open has a default here. */
-    public static Limits of(ToDoubleFunction<String> told, long connectTimeout, long connectionIdle) {
+/**
+ * Every bound on sizes, counts and times of the network code; filled at start, handed down from there, and filled
+ * anew when the operator's file has changed. Times are microseconds, sizes bytes. What is read once, where something
+ * is built, waits for a restart: {@link Catalogue} says of which keys that holds.
+ */
+public final class Limits {
+    private record Figures(int clientLinks, int acceptAhead, int endpointLinks, int backlog, int ringFirst,
+                           int ringMost, int headMost, int bodyMost, int idMost, int lineMost, long ledgerLive,
+                           long ledgerAnew, int ledgerAside, long requestWithin, long clientIdle, long silentFor,
+                           long idleLeast, long speechWithin, long lingerFor, int lingerMost, long sweepEvery,
+                           long connectWithin, long endpointIdle, long answerRest, long watchSilence, long retryFirst,
+                           long retryMost, long noticeWithin, int noticesAtOnce, long drainFresh, long drainMost,
+                           long drainLeast) { }
+
+    private static final long SECOND = 1_000_000;
+    private final ToDoubleFunction<String> told;
+    private final long connectTimeout;
+    private final long connectionIdle;
+    /** Changed on the I/O thread; read there, and by the one that ends the process. */
+    private volatile Figures now;
+
+    /** {@code told} gives a figure of the platform's configuration, or 0. */
+    public Limits(ToDoubleFunction<String> told, long connectTimeout, long connectionIdle, Operator operator) {
+        this.told = told;
+        this.connectTimeout = connectTimeout;
+        this.connectionIdle = connectionIdle;
+        fill(operator);
+    }
+
+    public void fill(Operator o) {
         // Left for files, the jars, the selector, the ledger, the listener and the links to discovery.
-        int links = Math.max(3, (int) or(told, "sockets", 1024) - 48);
+        int links = Math.max(3, (int) or("sockets", 1024) - 48);
         long heap = Runtime.getRuntime().maxMemory();
-        double disk = or(told, "disk_mb", 64) * (1 << 20);
+        double disk = or("disk_mb", 64) * (1 << 20);
         long idle = connectionIdle > 0 ? connectionIdle : 10 * SECOND;
-        return new Limits(
+        int ring = (int) o.figure(Catalogue.RING_MOST);
+        int body = (int) o.figure(Catalogue.CLIENT_BODY);
+        now = new Figures(
             // Usual clients hold a third of all descriptors at most; what is over is for those that say nothing.
             // Two fifths suffice for endpoints: a call more closes the connection that lay idle longest.
             // Each client's connection may hold a ring and a body: all of them together must fit the heap.
-            (int) or(told, "client_links", Math.max(1, Math.min(links * 3 / 5, heap / 5 * 2 / (RING + BODY)))),
-            12, Math.max(1, links * 2 / 5), 512, 2 << 10, RING, 8 << 10, BODY, 128, 1 << 20,
+            (int) o.figureOr(Catalogue.CLIENT_LINKS, Math.max(1, Math.min(links * 3 / 5, heap / 5 * 2 / (ring + body)))),
+            (int) o.figure(Catalogue.CLIENT_ACCEPT_AHEAD),
+            (int) o.figureOr(Catalogue.ENDPOINT_LINKS, Math.max(1, links * 2 / 5)),
+            (int) o.figure(Catalogue.CLIENT_BACKLOG),
+            (int) o.figure(Catalogue.RING_FIRST), ring, (int) o.figure(Catalogue.CLIENT_HEAD), body,
+            (int) o.figure(Catalogue.CLIENT_ID), (int) o.figure(Catalogue.LINE_MOST),
             // Written anew at over half of the disk, with at most 0.4 of it still live: old and new fit together.
-            (long) (0.40 * disk), (long) (0.55 * disk), 512,
+            (long) (o.part(Catalogue.LEDGER_LIVE) * disk), (long) (o.part(Catalogue.LEDGER_ANEW) * disk),
+            (int) o.figure(Catalogue.LEDGER_ASIDE),
             // A client is owed an error or a close within 3 s of connecting, but 2 s of silence are its own.
-            (long) or(told, "client_request_ms", 2_300) * MS, (long) or(told, "client_idle_ms", 10_000) * MS,
-            (long) or(told, "client_silent_ms", 2_100) * MS, 2 * SECOND, 100 * MS,
-            500 * MS, 256 << 10, 200 * MS,
+            o.figure(Catalogue.CLIENT_REQUEST), o.figure(Catalogue.CLIENT_IDLE), o.figure(Catalogue.CLIENT_SILENT),
+            o.figure(Catalogue.CLIENT_IDLE_LEAST), o.figure(Catalogue.CLIENT_SPEECH),
+            o.figure(Catalogue.CLIENT_LINGER), (int) o.figure(Catalogue.CLIENT_LINGER_MOST),
+            o.figure(Catalogue.CLIENT_SWEEP),
             connectTimeout > 0 ? connectTimeout : SECOND,
             // Ahead of the endpoint's own clock by what a busy machine and the network may add.
             idle - Math.min(SECOND, idle / 8),
             // An endpoint writes an answer in one go, late or not.
-            300 * MS,
+            o.figure(Catalogue.ENDPOINT_REST),
             // Discovery says something every 2 s unless it is down, and counts as heard 6 s after a change.
             // Silence and the longest pause before the next try stay under that together.
-            3 * SECOND, 100 * MS, SECOND,
+            o.figure(Catalogue.WATCH_SILENCE), o.figure(Catalogue.RETRY_FIRST), o.figure(Catalogue.RETRY_MOST),
             // A notice not answered at once goes again while it still is in time.
-            150 * MS, 64,
+            o.figure(Catalogue.NOTICE_WITHIN), (int) o.figure(Catalogue.NOTICES_AT_ONCE),
             // Asked to end, a relay has 3.5 s: shots begin in the first part only, so that most come to their end.
-            1_800 * MS, 3_200 * MS, 500 * MS);
+            o.figure(Catalogue.DRAIN_FRESH), o.figure(Catalogue.DRAIN_MOST), o.figure(Catalogue.DRAIN_LEAST));
     }
 
-    private static double or(ToDoubleFunction<String> told, String name, double otherwise) {
+    private double or(String name, double otherwise) {
         double figure = told.applyAsDouble(name);
         return figure > 0 ? figure : otherwise;
     }
+
+    public int clientLinks() {
+        return now.clientLinks;
+    }
+
+    public int acceptAhead() {
+        return now.acceptAhead;
+    }
+
+    public int endpointLinks() {
+        return now.endpointLinks;
+    }
+
+    public int backlog() {
+        return now.backlog;
+    }
+
+    public int ringFirst() {
+        return now.ringFirst;
+    }
+
+    public int ringMost() {
+        return now.ringMost;
+    }
+
+    public int headMost() {
+        return now.headMost;
+    }
+
+    public int bodyMost() {
+        return now.bodyMost;
+    }
+
+    public int idMost() {
+        return now.idMost;
+    }
+
+    public int lineMost() {
+        return now.lineMost;
+    }
+
+    public long ledgerLive() {
+        return now.ledgerLive;
+    }
+
+    public long ledgerAnew() {
+        return now.ledgerAnew;
+    }
+
+    public int ledgerAside() {
+        return now.ledgerAside;
+    }
+
+    public long requestWithin() {
+        return now.requestWithin;
+    }
+
+    public long clientIdle() {
+        return now.clientIdle;
+    }
+
+    public long silentFor() {
+        return now.silentFor;
+    }
+
+    public long idleLeast() {
+        return now.idleLeast;
+    }
+
+    public long speechWithin() {
+        return now.speechWithin;
+    }
+
+    public long lingerFor() {
+        return now.lingerFor;
+    }
+
+    public int lingerMost() {
+        return now.lingerMost;
+    }
+
+    public long sweepEvery() {
+        return now.sweepEvery;
+    }
+
+    public long connectWithin() {
+        return now.connectWithin;
+    }
+
+    public long endpointIdle() {
+        return now.endpointIdle;
+    }
+
+    public long answerRest() {
+        return now.answerRest;
+    }
+
+    public long watchSilence() {
+        return now.watchSilence;
+    }
+
+    public long retryFirst() {
+        return now.retryFirst;
+    }
+
+    public long retryMost() {
+        return now.retryMost;
+    }
+
+    public long noticeWithin() {
+        return now.noticeWithin;
+    }
+
+    public int noticesAtOnce() {
+        return now.noticesAtOnce;
+    }
+
+    public long drainFresh() {
+        return now.drainFresh;
+    }
+
+    public long drainMost() {
+        return now.drainMost;
+    }
+
+    public long drainLeast() {
+        return now.drainLeast;
+    }
 }
--- a/relay/src/main/java/yewpath/loop/Loop.java
+++ b/relay/src/main/java/yewpath/loop/Loop.java
@@ -4,8 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
 import org.xnio.XnioIoThread;
+import yewpath.events.Event;
+import yewpath.events.Log;
 
 /** One thread's rounds: what became ready is gathered, then played in one go; and what is due at a time. */
 public final class Loop {
@@ -85,7 +86,7 @@
         try {
             act.run();
         } catch (RuntimeException e) {
-            Logger.error(e, "an event or act failed");
+            Log.tell(Event.RELAY_FAULT, e);
         }
     }
 
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -7,7 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.tinylog.Logger;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.http.Caller;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
@@ -113,7 +114,7 @@
             return;
         }
         if (status == 400) {
-            Logger.error("notice for {} was not understood and is dropped", batch.get(0).id);
+            Log.tell(Event.NOTICE_REFUSED, batch.get(0).id);
         }
         atOnce = limits.noticesAtOnce();
         busy = false;
@@ -127,6 +128,7 @@
             owed.addFirst(batch.get(i));
         }
         backoff = Math.min(limits.retryMost(), Math.max(limits.retryFirst(), 2 * backoff));
+        Log.tell(Event.NOTICE_UNHEARD, batch.size(), backoff / 1000);
         loop.after(backoff, () -> {
             busy = false;
             next();
--- a/relay/src/main/java/yewpath/relay/Check.java
+++ b/relay/src/main/java/yewpath/relay/Check.java
@@ -17,15 +17,15 @@
 public final class Check {
     private Check() { }
 
-    public static String run(String file, Map<String, String> environment) throws Config.Fault, IOException,
-            InterruptedException {
+    public static String run(String file, String operatorFile, Map<String, String> environment) throws Config.Fault,
+            IOException, InterruptedException {
         Map<String, String> aside = new HashMap<>(environment);
         aside.put("NODE_LISTEN", "127.0.0.1:0");
         // Nobody listens there: what the relay would be told by its platform is not drawn into a trial.
         aside.put("NODE_DISCOVERY", "127.0.0.1:1");
         Path state = Files.createTempDirectory("yewpath");
         aside.put("NODE_STATE", state.toString());
-        Config config = Config.read(file, aside);
+        Config config = Config.read(file, operatorFile, aside);
         // A destination that exists, and an endpoint to which nothing is sent.
         config.known = Listing.read(("{\"version\":0,\"full\":true,\"servers\":[{\"id\":\"check\",\"addr\":\"127.0.0.1:1\","
             + "\"zone\":\"check\",\"kind\":\"check\",\"cell\":0,\"state\":\"draining\",\"weight\":1.0,"
--- a/relay/src/main/java/yewpath/relay/Config.java
+++ b/relay/src/main/java/yewpath/relay/Config.java
@@ -12,6 +12,8 @@
 import yewpath.directory.Listing;
 import yewpath.json.Tokens;
 import yewpath.loop.Limits;
+import yewpath.operator.Operator;
+import yewpath.operator.OperatorFile;
 
 /** What a relay is told at its start, by file and environment; the latter wins. */
 public final class Config {
@@ -33,11 +35,16 @@
     public final Limits limits;
     /** The list of endpoints as last held; null where none is told. */
     Listing known;
+    /** What the operator's file says, or all at its default. */
+    public final Operator operator;
+    final String operatorFile;
     private final String file;
     private final Map<String, String> environment;
 
-    private Config(String file, byte[] json, Map<String, String> environment) {
+    private Config(String file, byte[] json, String operatorFile, Operator operator, Map<String, String> environment) {
         this.file = file;
+        this.operatorFile = operatorFile;
+        this.operator = operator;
         this.environment = environment;
         Map<String, String> flat = new HashMap<>();
         Map<String, String> settings = new HashMap<>();
@@ -66,8 +73,8 @@
         if (boot.settings.offerings.length == 0) {
             throw new IllegalArgumentException("settings name no request_classes");
         }
-        limits = Limits.of(name -> figure(flat, "limits." + name), boot.settings.connectTimeout,
-            boot.settings.connectionIdle);
+        limits = new Limits(name -> figure(flat, "limits." + name), boot.settings.connectTimeout,
+            boot.settings.connectionIdle, operator);
     }
 
     private static double figure(Map<String, String> flat, String path) {
@@ -96,17 +103,20 @@
     Config again() throws Fault {
         Map<String, String> rest = new HashMap<>(environment);
         rest.remove("NODE_DISCOVERY");
-        return read(file, rest);
+        return read(file, operatorFile, rest);
     }
 
-    /** {@code file} may be null, which leaves it to $NODE_CONFIG. */
-    public static Config read(String file, Map<String, String> environment) throws Fault {
+    /** {@code file} may be null, which leaves it to $NODE_CONFIG; {@code operatorFile} may be, too. */
+    public static Config read(String file, String operatorFile, Map<String, String> environment) throws Fault {
         String path = file != null ? file : environment.get("NODE_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new Fault("no configuration: name a file by --config or $NODE_CONFIG");
         }
         try {
-            return new Config(path, Files.readAllBytes(Path.of(path)), environment);
+            Operator operator = OperatorFile.read(operatorFile);
+            return new Config(path, Files.readAllBytes(Path.of(path)), operatorFile, operator, environment);
+        } catch (OperatorFile.Faults faults) {
+            throw new Fault(faults.getMessage());
         } catch (IOException e) {
             throw new Fault(path + " cannot be read: " + e.getMessage());
         } catch (IllegalArgumentException | Malformed e) {
--- a/relay/src/main/java/yewpath/relay/Endpoints.java
+++ b/relay/src/main/java/yewpath/relay/Endpoints.java
@@ -8,6 +8,8 @@
 import yewpath.boot.Names;
 import yewpath.delivery.Delivery;
 import yewpath.directory.Listing;
+import yewpath.events.Event;
+import yewpath.events.Log;
 
 /** Turns the list's names into indices and hands it on, to Logic and to where calls are made. */
 final class Endpoints implements Listing.Hearer {
@@ -54,6 +56,12 @@
         return destinations.of(name);
     }
 
+    /** As the list has it; of one that no list names any more, its index. */
+    String name(int endpoint) {
+        String name = ids.name(endpoint);
+        return name == null ? "#" + endpoint : name;
+    }
+
     String zone(int endpoint) {
         return zones[endpoint];
     }
@@ -98,6 +106,9 @@
         if (phase != UP) {
             delivery.takeBackUnsent(at);
         }
+        if (Log.tells(Event.ENDPOINT_LISTED)) {
+            Log.tell(Event.ENDPOINT_LISTED, id, address, destination, phase == UP ? "up" : phase == 1 ? "draining" : "removed");
+        }
         logic.listed(at, boot.zones.of(zone), kindAt, to, phase, rate, since);
     }
 
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import org.tinylog.Logger;
 import yewpath.Egress;
 import yewpath.Logic;
 import yewpath.Settings;
@@ -15,6 +14,8 @@
 import yewpath.delivery.Call;
 import yewpath.delivery.Delivery;
 import yewpath.directory.Watch;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.intake.Desk;
 import yewpath.json.Tokens;
 import yewpath.ledger.Entry;
@@ -39,6 +40,10 @@
         }
     }
 
+    /** Egress's outcomes as events name them. */
+    private static final String[] OUTCOMES = {"fulfilled", "error", "full", "timeout", "unreached", "broken", "cancelled",
+        "moot", "stale"};
+
     private final Loop loop;
     private final Ledger ledger;
     private final Boot boot;
@@ -95,6 +100,9 @@
             return;
         }
         hand(envelopes.add(entry, loop.now()), offering, boot.zones.of(entry.doubtZone));
+        if (Log.tells(Event.ENVELOPE_RESTORED)) {
+            Log.tell(Event.ENVELOPE_RESTORED, entry.id, entry.shots, entry.doubtSince >= 0);
+        }
     }
 
     private void hand(Held one, int offering, int doubtZone) {
@@ -128,7 +136,8 @@
             ledger.flush();
         } catch (IOException e) {
             // Nothing may leave that the ledger does not hold: what was promised is in the file as it stands.
-            Logger.error(e, "the ledger cannot be written");
+            Log.tell(Event.LEDGER_FAILED, e);
+            Log.flush(200);
             Runtime.getRuntime().halt(1);
         }
     }
@@ -164,6 +173,7 @@
             out.writeNumberField("fulfilled", fulfilledEver);
             out.writeNumberField("deferred", deferredEver);
             out.writeNumberField("aborted", abortedEver);
+            out.writeNumberField("log_dropped", Log.dropped());
             out.writeEndObject();
             out.writeRaw('\n');
         });
@@ -188,6 +198,9 @@
         }
         Entry entry = ledger.draft(id, offering, tenant, key, destination, expiry, body);
         if (isClosing() || envelopes.open() >= holdLimit || !ledger.hasRoom(entry)) {
+            if (Log.tells(Event.ENVELOPE_REFUSED)) {
+                Log.tell(Event.ENVELOPE_REFUSED, id, isClosing() ? "closing" : envelopes.open() >= holdLimit ? "hold" : "ledger");
+            }
             reply.with(503, tellsPause ? logic.awayFor() : 0);
             return;
         }
@@ -197,6 +210,9 @@
         one.reply = reply;
         taken.add(one);
         takenEver++;
+        if (Log.tells(Event.ENVELOPE_TAKEN)) {
+            Log.tell(Event.ENVELOPE_TAKEN, id, offering, tenant, destination, (expiry - loop.now()) / 1000, body.length);
+        }
         hand(one, boot.offerings.find(offering), 0);
     }
 
@@ -216,6 +232,7 @@
 
     private void withdraw(Held one) {
         if (!one.over) {
+            Log.tell(Event.ENVELOPE_WITHDRAWN, one.entry.id);
             logic.withdrawn(one.index);
             ledger.over(one.entry);
             envelopes.end(one, loop.now());
@@ -292,6 +309,9 @@
         public void leaving() {
             ledger.shot(one.entry, loop.now(), endpoints.zone(endpoint));
             flush();
+            if (Log.tells(Event.ENVELOPE_SHOT)) {
+                Log.tell(Event.ENVELOPE_SHOT, one.entry.id, number, endpoints.name(endpoint));
+            }
         }
 
         @Override
@@ -311,6 +331,9 @@
                 ledger.back(one.entry, outcome == FULL || outcome == UNREACHED || outcome == MOOT);
             }
             one.call = null;
+            if (Log.tells(Event.ENVELOPE_BACK)) {
+                tellEnd(outcome, wait, over, elapsed);
+            }
             logic.settled(one.index, over || one.over, number, endpoint, outcome, wait, elapsed, left, limit);
             one.shotsOut--;
             if (over) {
@@ -318,6 +341,15 @@
             }
             envelopes.release(one, loop.now());
         }
+
+        private void tellEnd(int outcome, long wait, boolean over, long elapsed) {
+            if (over) {
+                Log.tell(Event.ENVELOPE_FULFILLED, one.entry.id, number, endpoints.name(endpoint), elapsed / 1000);
+            } else {
+                Log.tell(Event.ENVELOPE_BACK, one.entry.id, number, endpoints.name(endpoint), OUTCOMES[outcome],
+                    elapsed / 1000, wait / 1000);
+            }
+        }
     }
 
     @Override
@@ -341,6 +373,11 @@
         endpoints.forget(endpoint);
     }
 
+    @Override
+    public void health(int endpoint, boolean well) {
+        Log.tell(well ? Event.ENDPOINT_WELL : Event.ENDPOINT_SICK, endpoints.name(endpoint));
+    }
+
     // ---- Ends
 
     @Override
@@ -359,6 +396,11 @@
         if (one.over) {
             return;
         }
+        if (handedBack) {
+            Log.tell(Event.ENVELOPE_HANDED_BACK, one.entry.id, pause / 1000);
+        } else {
+            Log.tell(Event.ENVELOPE_GIVEN_UP, one.entry.id);
+        }
         envelopes.end(one, loop.now());
         if (one.reply != null) {
             Reply reply = one.reply;
@@ -389,7 +431,6 @@
 
     /** Held envelopes, calls and clients know nothing of it. */
     void discoveryAt(InetSocketAddress address) {
-        Logger.info("configuration read anew: discovery at {}", address);
         watch.move(address);
         notices.move(address);
     }
@@ -397,13 +438,13 @@
     // ---- Closing
 
     void close(CountDownLatch done) {
-        Logger.info("closing: {} envelopes open, {} calls out", envelopes.open(), delivery.callsOut());
+        Log.tell(Event.RELAY_CLOSING, envelopes.open(), delivery.callsOut());
         closing.begin(() -> delivery.callsOut() > 0, () -> envelopes.open() > 0, done);
     }
 
     /** The last words, once closing is done. */
     void closed() {
         flush();
-        Logger.info("closed: {} envelopes stay in the ledger, {} calls out", ledger.size(), delivery.callsOut());
+        Log.tell(Event.RELAY_CLOSED, ledger.size(), delivery.callsOut());
     }
 }
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/Serve.java
@@ -2,17 +2,21 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import sun.misc.Signal;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.intake.Door;
 import yewpath.ledger.Ledger;
 import yewpath.loop.Loop;
+import yewpath.operator.Catalogue;
+import yewpath.operator.Operator;
 
 /** Starts a relay and ends it when the process is asked to. */
 public final class Serve {
@@ -20,6 +24,7 @@
 
     /** Returns where it listens once the relay takes envelopes; it goes on until the process ends. */
     public static InetSocketAddress start(Config config) throws IOException, InterruptedException {
+        logAsTold(config.operator);
         Ledger ledger = new Ledger(config.state, config.limits.ledgerLive(), config.limits.ledgerAnew(),
             config.limits.ledgerAside());
         XnioWorker worker = Xnio.getInstance("nio", Serve.class.getClassLoader()).createWorker(OptionMap.builder()
@@ -30,7 +35,8 @@
         Exception[] failure = {null};
         Relay[] relay = {null};
         InetSocketAddress[] at = {null};
-        Signal.handle(new Signal("HUP"), hangUp -> reload(loop, relay, config));
+        Config[] inForce = {config};
+        Signal.handle(new Signal("HUP"), hangUp -> reload(loop, relay, config, inForce));
         loop.thread().execute(() -> {
             try {
                 relay[0] = new Relay(config, loop, ledger);
@@ -44,23 +50,36 @@
         if (failure[0] != null) {
             throw new IOException("cannot start: " + failure[0].getMessage(), failure[0]);
         }
-        Logger.info("{} serves at {}; {} envelopes restored", config.name, at[0], ledger.size());
+        Log.tell(Event.RELAY_STARTED, config.name, at[0], ledger.size(), config.operatorFile);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, relay[0], config)));
         return at[0];
     }
 
-    /** A new file that cannot be read leaves all as it was. */
-    private static void reload(Loop loop, Relay[] relay, Config config) {
+    private static void logAsTold(Operator operator) {
+        Log.set(operator.word(Catalogue.LOG_LEVEL), operator.word(Catalogue.LOG_FORM).equals("json"),
+            (int) operator.figure(Catalogue.LOG_FLOOD), (int) operator.figure(Catalogue.LOG_QUEUE));
+    }
+
+    /** A new file that cannot be read, of the platform's or the operator's, leaves all as it was. */
+    private static synchronized void reload(Loop loop, Relay[] relay, Config started, Config[] inForce) {
+        Config anew;
         try {
-            Config anew = config.again();
-            loop.thread().execute(() -> {
-                if (relay[0] != null) {
-                    relay[0].discoveryAt(anew.discovery);
-                }
-            });
+            anew = inForce[0].again();
         } catch (Config.Fault e) {
-            Logger.error("the new configuration is left out, the old one stays: {}", e.getMessage());
+            Log.tell(Event.RELAY_RELOAD_REFUSED, List.of(e.getMessage().split("\n")));
+            return;
         }
+        Config old = inForce[0];
+        inForce[0] = anew;
+        logAsTold(anew.operator);
+        loop.thread().execute(() -> {
+            if (relay[0] != null) {
+                started.limits.fill(anew.operator);
+                relay[0].discoveryAt(anew.discovery);
+            }
+        });
+        Log.tell(Event.RELAY_RELOADED, anew.discovery, old.operator.changes(anew.operator, true),
+            started.operator.changes(anew.operator, false));
     }
 
     private static void end(Loop loop, Relay relay, Config config) {
@@ -77,6 +96,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        Log.flush(100);
         // Without this the exit code would be that of the signal.
         Runtime.getRuntime().halt(0);
     }
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -30,6 +30,7 @@
 import yewpath.delivery.Delivery;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
+import yewpath.operator.Operator;
 
 /** Calls to endpoints, the list they stand in, and the notices of what was not delivered. */
 public final class DeliveryTest extends Stand.Tests {
@@ -164,7 +165,7 @@
         Stand.Server endpoint = stand.endpoint(1, got -> OK);
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         Loop loop = new Loop(worker.getIoThread());
-        Delivery delivery = new Delivery(loop, Limits.of(name -> 0, 1_000_000, 2_000_000), List.of());
+        Delivery delivery = new Delivery(loop, new Limits(name -> 0, 1_000_000, 2_000_000, Operator.STANDARD), List.of());
         AtomicInteger outcomes = new AtomicInteger();
         Call.Cargo cargo = (Call.Cargo) Proxy.newProxyInstance(Call.Cargo.class.getClassLoader(),
             new Class<?>[] {Call.Cargo.class}, (proxy, method, args) -> switch (method.getName()) {
--- a/relay/src/test/java/yewpath/IntakeTest.java
+++ b/relay/src/test/java/yewpath/IntakeTest.java
@@ -26,7 +26,7 @@
     @BeforeClass
     public void start() throws Exception {
         stand = new Stand();
-        stand.limits = ",\"client_links\":4,\"client_request_ms\":700,\"client_idle_ms\":60000";
+        stand.operator = "[clients]\nconnections = 4\nrequest_within = \"700 ms\"\nidle_for = \"1 min\"\n";
         endpoint = stand.endpoint(1, got -> OK);
         stand.start();
     }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -336,7 +336,7 @@
             stand.handIn("m3", "order", 2, 9000);
             until("the old address leaves a notice without answer", 2000, () -> stand.discovery.posts().size() == 1);
             stand.reload("{\"discovery\":");
-            until("a bad file is told", 2000, () -> Files.readString(stand.folder.resolve("log")).contains("left out"));
+            until("a bad file is told", 2000, () -> Files.readString(stand.folder.resolve("log")).contains("relay.reload_refused"));
             assertEquals(stand.watched.size(), 1, "a bad file had effect");
             Stand.Server old = stand.discovery;
             Stand.Server moved = stand.moveDiscovery();
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -192,9 +192,14 @@
     /** Set for the relay beside its configuration. */
     final Map<String, String> environment = new LinkedHashMap<>();
     String settings = "";
+    /** The operator's file; none where empty. */
+    String operator = "";
     /** What the system lets the relay have; 0 for whatever it lets this process have. */
     int descriptors;
     String mode = "pushed";
+    int holdMost = 50;
+    /** Whether the relay writes its log into a pipe that nobody empties. */
+    boolean unread;
     String weight = "50.0";
     int port;
     int version = 1;
@@ -297,7 +302,7 @@
             + "\"settings\":{\"balancers\":1,\"ordinal\":0,\"discovery\":\"" + mode + "\",\"weights\":\"nominal\",\"zones\":[\"z\"],"
             + "\"kinds\":[\"plain\",\"bundled\"],\"family_info\":{\"max_calls\":8,\"bundle_max\":[1,20],"
             + "\"routes_apart\":[false,false],\"late\":\"by_half\"},\"limits\":{\"cancel\":true,\"retry_after\":true,"
-            + "\"max_open\":50,\"try_limit\":8,\"connect_timeout_ms\":1000.0,\"conn_idle_ms\":2000.0},\"rules\":{"
+            + "\"max_open\":" + holdMost + ",\"try_limit\":8,\"connect_timeout_ms\":1000.0,\"conn_idle_ms\":2000.0},\"rules\":{"
             + "\"cold_from\":0.2,\"cold_ms\":2000.0,\"fall_ms\":1000.0,\"fall_multiple\":2.0,\"settle_after_doubt_ms\":400.0}," + settings
             + "\"request_classes\":[{\"name\":\"status\",\"repeat\":\"pure\",\"worth\":1.0,\"late_worth\":0.1,"
             + "\"on_time_ms\":1000.0,\"give_up_ms\":8000.0},{\"name\":\"order\",\"repeat\":\"side_effect\",\"worth\":1.0,"
@@ -322,11 +327,14 @@
         Path config = folder.resolve("config.json");
         Files.writeString(config, config());
         ProcessBuilder builder = yewpath("serve", "--config", config.toString());
+        if (!operator.isEmpty()) {
+            builder.command().addAll(List.of("--operator", Files.writeString(operatorFile(), operator).toString()));
+        }
         builder.environment().putAll(environment);
         if (descriptors > 0) {
             builder.command().addAll(0, List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
         }
-        process = builder.redirectOutput(folder.resolve("log").toFile()).start();
+        process = unread ? builder.start() : builder.redirectOutput(folder.resolve("log").toFile()).start();
         until("the relay is ready", 10_000, () -> {
             try {
                 return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
@@ -343,6 +351,15 @@
         signal("HUP");
     }
 
+    Path operatorFile() {
+        return folder.resolve("yewpath.toml");
+    }
+
+    /** What the relay has written so far. */
+    List<String> log() throws IOException {
+        return Files.readAllLines(folder.resolve("log"));
+    }
+
     void kill() throws Exception {
         process.destroyForcibly().waitFor();
     }
@@ -397,7 +414,11 @@
     }
 
     static void pause(long millis) {
-        LockSupport.parkNanos(millis * 1_000_000);
+        // Parking may end at once: a permit can be left over from whatever this thread waited for before.
+        long end = System.nanoTime() + millis * 1_000_000;
+        for (long left = end - System.nanoTime(); left > 0; left = end - System.nanoTime()) {
+            LockSupport.parkNanos(left);
+        }
     }
 
     boolean ended(String id, String how) {
