--- /dev/null
+++ b/relay/src/test/java/yewpath/FaultsTest.java
@@ -0,0 +1,129 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import yewpath.standins.io.Reactor;
+import yewpath.standins.peer.Client;
+import yewpath.standins.peer.Endpoint;
+import yewpath.standins.peer.Platform;
+import yewpath.standins.process.RelayProcess;
+import yewpath.standins.referee.Accounts;
+import yewpath.standins.referee.Accounts.Kind;
+
+/** Whole runs among stand-ins with faults by script: whatever happens, the accounts find no rule broken. */
+public final class FaultsTest {
+    private static final long MS = 1_000, S = 1_000_000;
+    private static final List<RelayProcess.Offering> OFFERINGS = List.of(
+        new RelayProcess.Offering("status", "pure", false, 800, 3_000),
+        new RelayProcess.Offering("serial", "token", true, 800, 3_000),
+        new RelayProcess.Offering("order", "side_effect", false, 800, 3_000));
+    private static final List<Kind> KINDS = List.of(Kind.REPEATABLE, Kind.TAGGED, Kind.ONCE_ONLY);
+    private final List<Throwable> failures = new CopyOnWriteArrayList<>();
+    private final SplittableRandom chance = new SplittableRandom(7);
+    private Reactor reactor;
+    private Accounts accounts;
+    private List<Endpoint> endpoints;
+    private Platform platform;
+    private int handedIn;
+
+    @BeforeMethod
+    public void build() throws Exception {
+        failures.clear();
+        handedIn = 0;
+        reactor = new Reactor(failures::add);
+        accounts = new Accounts(10 * S, S / 2);
+        endpoints = new ArrayList<>();
+        platform = new Platform(reactor, accounts, endpoints);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        reactor.close();
+        assertEquals(failures, List.of());
+    }
+
+    private void endpoint(String name, int destination, String script) {
+        endpoints.add(new Endpoint(reactor, accounts, name, destination, destination == 2 ? "bundled" : "plain", 100, script,
+            chance.split(), platform::tell));
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"late and silent", "0 s: answer 200 after 5 ms to 30 ms\n0 s: silent share 0.05\n0 s: answer 200 after 900 ms every 9"},
+            {"resets before and after the last byte", "0 s: reset first share 0.1\n0 s: reset midway after 20 ms share 0.1\n0 s: reset last share 0.1"},
+            {"refusals and told waits", "0 s: answer 503 share 0.1\n500 ms - 900 ms: answer 429 wait 400 ms"},
+            {"noise", "0 s: garble share 0.15\n0 s: answer 500 share 0.1"},
+            {"shut and back", "400 ms - 1 s: refuse\n1500 ms - 1700 ms: silent"},
+            {"drained and replaced", "500 ms - 1 s: drain\n1500 ms: replaced"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void eachEnvelopeHasOneEnd(String what, String script) throws Exception {
+        endpoint("a", 1, script);
+        endpoint("b", 1, "0 s: answer 200 after 5 ms to 10 ms");
+        endpoint("c", 2, script);
+        play(1_000_000, -1);
+    }
+
+    @Test
+    public void alsoOverAKillInTheMiddle() throws Exception {
+        endpoint("a", 1, "0 s: answer 200 after 5 ms to 300 ms");
+        endpoint("c", 2, "0 s: answer 200 after 5 ms to 300 ms\n0 s: reset last share 0.05");
+        play(2_000_000, 1_000);
+    }
+
+    private void play(long length, int killAfterMs) throws Exception {
+        reactor.call(() -> {
+            for (Endpoint one : endpoints) {
+                one.open();
+            }
+            platform.open(0);
+            return null;
+        });
+        List<String> command = new ArrayList<>(Stand.yewpath().command());
+        try (RelayProcess relay = new RelayProcess(command, "127.0.0.1:" + platform.address().getPort(), 0, OFFERINGS, List.of())) {
+            Client client = new Client(reactor, accounts, relay.address);
+            reactor.run(() -> {
+                endpoints.forEach(Endpoint::begin);
+                next(client, reactor.now() + 2 * length);
+            });
+            if (killAfterMs > 0) {
+                Stand.pause(killAfterMs);
+                relay.kill();
+                relay.start();
+            }
+            Stand.until("all handed in", 15_000, () -> reactor.call(() -> handedIn) >= length / 5_000);
+            Stand.until("each has its end", 15_000, () -> reactor.call(() -> accounts.open()) == 0);
+            assertEquals(relay.end(), 0);
+        }
+        reactor.call(() -> {
+            accounts.close(reactor.now());
+            return null;
+        });
+        assertTrue(accounts.broken().isEmpty(), String.join("\n", accounts.broken()));
+        // A run in which nothing was delivered would show nothing.
+        long fulfilled = accounts.all().stream().filter(one -> one.end == Accounts.End.FULFILLED).count();
+        assertTrue(fulfilled > handedIn / 3, fulfilled + " of " + handedIn);
+    }
+
+    /** One envelope each 5 ms whatever becomes of the others. */
+    private void next(Client client, long until) {
+        if (reactor.now() < until && handedIn < 400) {
+            int which = chance.nextInt(3);
+            client.handIn("f" + handedIn++, OFFERINGS.get(which).name(), KINDS.get(which), 1 + chance.nextInt(2),
+                which == 1 ? "k" + chance.nextInt(10) : null, 3 * S, new byte[chance.nextInt(20) == 0 ? 40_000 : 100]);
+            reactor.after(5 * MS, () -> next(client, until));
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/yewpath/standins/peer/Endpoint.java
@@ -0,0 +1,267 @@
+package yewpath.standins.peer;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import yewpath.standins.io.HttpReader;
+import yewpath.standins.io.Message;
+import yewpath.standins.io.Reactor;
+import yewpath.standins.io.Wire;
+import yewpath.standins.referee.Accounts;
+import yewpath.standins.script.Script;
+import yewpath.standins.script.Step;
+
+/** One endpoint: answers calls as its script says, one by one or in bundles, and tells the accounts what it saw. */
+public final class Endpoint {
+    private static final JsonFactory JSON = new JsonFactory();
+    /** Small, so that a large call has not arrived whole while it is not read. */
+    private static final int RECEIVE = 4 << 10;
+
+    public final String name;
+    public final int destination;
+    /** As the list tells it. */
+    public final String kind;
+    public final double weight;
+    private final Reactor reactor;
+    private final Accounts accounts;
+    private final Script script;
+    private final RandomGenerator chance;
+    private final Set<Visit> visits = new LinkedHashSet<>();
+    private final Runnable changed;
+    private Reactor.Port port;
+    private InetSocketAddress address;
+    private int generation;
+    private long startedAt;
+    private long calls;
+
+    /** {@code changed} is called when the list should say something else of it. */
+    public Endpoint(Reactor reactor, Accounts accounts, String name, int destination, String kind, double weight,
+                    String script, RandomGenerator chance, Runnable changed) {
+        this.reactor = reactor;
+        this.accounts = accounts;
+        this.name = name;
+        this.destination = destination;
+        this.kind = kind;
+        this.weight = weight;
+        this.script = Script.of(script);
+        this.chance = chance;
+        this.changed = changed;
+    }
+
+    /** Opens its port; the script's time counts from {@link #begin}. Only on the reactor's thread, as all below. */
+    public void open() throws IOException {
+        port = reactor.listen(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), RECEIVE, Visit::new);
+        address = port.address();
+    }
+
+    /** From now on the script's time runs. */
+    public void begin() {
+        startedAt = reactor.now();
+        for (long at : script.changes()) {
+            reactor.after(at, this::turn);
+        }
+    }
+
+    /** Under which id the list has it now: another after it was replaced. */
+    public String id() {
+        return generation == 0 ? name : name + "-" + generation;
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** As the list has it: up, draining or removed. */
+    public String state() {
+        long at = reactor.now() - startedAt;
+        return script.is(Step.Act.GONE, at) ? "removed" : script.is(Step.Act.DRAIN, at) ? "draining" : "up";
+    }
+
+    public long calls() {
+        return calls;
+    }
+
+    public int connections() {
+        return visits.size();
+    }
+
+    private void turn() {
+        long at = reactor.now() - startedAt;
+        boolean refuses = script.is(Step.Act.REFUSE, at);
+        try {
+            if (refuses && port != null) {
+                port.shut();
+                port = null;
+                new ArrayList<>(visits).forEach(Visit::reset);
+            } else if (!refuses && port == null) {
+                port = reactor.listen(address, RECEIVE, Visit::new);
+            }
+            if (script.is(Step.Act.REPLACED, at) && generation == 0) {
+                generation++;
+                if (port != null) {
+                    port.shut();
+                }
+                open();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        changed.run();
+    }
+
+    public void close() {
+        if (port != null) {
+            port.shut();
+        }
+        new ArrayList<>(visits).forEach(visit -> visit.wire.close());
+        visits.clear();
+    }
+
+    /** One connection of a relay. */
+    private final class Visit implements Wire.Owner {
+        private final Wire wire;
+        private final HttpReader reader = new HttpReader();
+        private List<String> out = List.of();
+        private Step step;
+        private long firstByteAt;
+
+        Visit(Wire wire) {
+            this.wire = wire;
+            wire.own(this);
+            visits.add(this);
+        }
+
+        @Override
+        public void came(ByteBuffer bytes) {
+            if (!reader.isBegun() && step == null) {
+                firstByteAt = reactor.now();
+                step = script.call(firstByteAt - startedAt, chance);
+                if (step.act() == Step.Act.RESET_FIRST) {
+                    reset();
+                    return;
+                }
+                if (step.act() == Step.Act.RESET_MIDWAY) {
+                    wire.hold();
+                    reactor.after(Math.max(1, step.after()), this::reset);
+                    return;
+                }
+            }
+            try {
+                reader.take(bytes);
+                Message call = reader.next();
+                if (call != null) {
+                    call(call);
+                }
+            } catch (IllegalArgumentException | IOException unreadable) {
+                wire.write(Message.answer(400, "Connection: close"));
+                wire.end();
+            }
+        }
+
+        private void call(Message call) throws IOException {
+            long now = reactor.now();
+            calls++;
+            boolean bulk = call.target().equals("/inbox/bulk");
+            out = bulk ? ids(call.body()) : List.of(String.valueOf(call.header("request-id")));
+            String where = "destination " + destination;
+            for (String id : out) {
+                accounts.arrived(id, id(), where, firstByteAt, now);
+            }
+            Step mine = step;
+            if (mine.runs()) {
+                out.forEach(id -> accounts.ran(id, now));
+            }
+            switch (mine.act()) {
+                case ANSWER -> reactor.after(mine.after(), () -> answer(mine, bulk));
+                case GARBLE -> reactor.after(mine.after(), () -> garble());
+                case RESET_LAST -> reactor.after(mine.after(), this::reset);
+                default -> wire.readOn();
+            }
+        }
+
+        private void answer(Step mine, boolean bulk) {
+            if (wire.isClosed()) {
+                return;
+            }
+            long now = reactor.now();
+            List<String> over = ended(mine.status() == 200, now);
+            if (mine.pause() > 0) {
+                accounts.waitTold("destination " + destination, mine.pause(), now);
+                wire.write(Message.answer(mine.status(), "Retry-After: " + mine.pause() / 1e6));
+            } else if (bulk && mine.status() == 200) {
+                wire.write(Message.bytes("HTTP/1.1 200 -", allDone(over)));
+            } else {
+                wire.write(Message.answer(mine.status()));
+            }
+        }
+
+        private void garble() {
+            ended(false, reactor.now());
+            byte[] noise = new byte[40];
+            chance.nextBytes(noise);
+            wire.write(noise);
+        }
+
+        private List<String> ended(boolean delivered, long at) {
+            List<String> over = out;
+            out = List.of();
+            step = null;
+            over.forEach(id -> accounts.callOver(id, delivered, at));
+            return over;
+        }
+
+        private void reset() {
+            ended(false, reactor.now());
+            wire.reset();
+            visits.remove(this);
+        }
+
+        @Override
+        public void over(boolean broken) {
+            ended(false, reactor.now());
+            wire.close();
+            visits.remove(this);
+        }
+    }
+
+    private static byte[] allDone(List<String> ids) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartArray();
+            for (String id : ids) {
+                out.writeStartObject();
+                out.writeStringField("id", id);
+                out.writeStringField("state", "done");
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static List<String> ids(byte[] body) throws IOException {
+        List<String> ids = new ArrayList<>();
+        try (JsonParser at = JSON.createParser(body)) {
+            while (at.nextToken() != null) {
+                if (at.currentToken() == JsonToken.VALUE_STRING && "id".equals(at.currentName())) {
+                    ids.add(at.getText());
+                }
+            }
+        }
+        return ids;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/yewpath/standins/referee/Accounts.java
@@ -0,0 +1,226 @@
+package yewpath.standins.referee;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The accounts of a run: each envelope's life as clients, endpoints and platform saw it, and each broken rule as a
+ * sentence with the envelope's history. Times are microseconds on one clock. Pure, for one thread.
+ */
+public final class Accounts {
+    /** How an offering may be repeated. */
+    public enum Kind { REPEATABLE, TAGGED, ONCE_ONLY }
+
+    /** How an envelope stands. */
+    public enum End { OPEN, FULFILLED, DEFERRED, ABORTED }
+
+    /** One envelope. */
+    public static final class Account {
+        public final String id;
+        public final String offering;
+        public final Kind kind;
+        public final long handedInAt;
+        public final long expiry;
+        public End end = End.OPEN;
+        public long endedAt = -1;
+        private boolean taken;
+        private int out;
+        /** Since when a shot has been out beside another; -1 where none is. */
+        private long besideSince = -1;
+        private int runs;
+        private long firstRunAt = -1;
+        private final List<String> history = new ArrayList<>();
+
+        private Account(String id, String offering, Kind kind, long at, long expiry) {
+            this.id = id;
+            this.offering = offering;
+            this.kind = kind;
+            handedInAt = at;
+            this.expiry = expiry;
+        }
+
+        public int runs() {
+            return runs;
+        }
+
+        private void note(long at, String what) {
+            // Some dozens suffice to see what happened; a shot storm must not fill the heap.
+            if (history.size() < 64) {
+                history.add((at - handedInAt) / 1000 + " ms " + what);
+            }
+        }
+    }
+
+    private static final long SAME_MOMENT = 50_000;
+    /** Added to each time limit, since peers and relay share a busy machine. */
+    private final long slack;
+    private final long memory;
+    private final Map<String, Account> accounts = new TreeMap<>();
+    /** What binds: until when, and how long it was when it was told. */
+    private final Map<String, Long> waits = new HashMap<>();
+    private final Map<String, Long> waitLengths = new HashMap<>();
+    private final Map<String, Long> closed = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+
+    /** {@code memory}: how long a repeat of a tagged envelope is known; {@code slack}: what time limits are extended by. */
+    public Accounts(long memory, long slack) {
+        this.memory = memory;
+        this.slack = slack;
+    }
+
+    public void handedIn(String id, String offering, Kind kind, long at, long within) {
+        accounts.put(id, new Account(id, offering, kind, at, at + within));
+    }
+
+    /** What the client was answered; 0 for nothing at all. */
+    public void answered(String id, int status, long at) {
+        Account one = accounts.get(id);
+        if (one == null) {
+            return;
+        }
+        one.note(at, "client got " + status);
+        if (status == 200 || status == 202) {
+            one.taken = true;
+        } else if (status == 429 || status == 503) {
+            end(one, End.DEFERRED, at);
+        } else {
+            end(one, End.ABORTED, at);
+        }
+    }
+
+    /** A call with this envelope has arrived whole. {@code where} is what a wait binds, {@code endpoint} who got it. */
+    public void arrived(String id, String endpoint, String where, long firstByteAt, long at) {
+        Account one = accounts.get(id);
+        if (one == null) {
+            broken.add("an envelope that nobody handed in: " + id);
+            return;
+        }
+        one.note(at, "arrives at " + endpoint);
+        if (one.out++ > 0 && one.besideSince < 0) {
+            one.besideSince = at;
+        }
+        Long until = waits.get(where);
+        if (until != null && at < until && at > until - waitLengths.getOrDefault(where, 0L) + 100_000 + slack) {
+            breaks(one, "sent " + (until - at) / 1000 + " ms before a told wait of " + where + " ends");
+        }
+        Long since = closed.get(endpoint);
+        if (since != null && firstByteAt > since + 250_000 + slack) {
+            breaks(one, "sent to " + endpoint + " " + (firstByteAt - since) / 1000 + " ms after it was told to be closed");
+        }
+    }
+
+    /** It takes effect now. */
+    public void ran(String id, long at) {
+        Account one = accounts.get(id);
+        if (one == null) {
+            return;
+        }
+        one.note(at, "runs");
+        boolean again = one.runs++ > 0;
+        if (again && (one.kind == Kind.ONCE_ONLY || one.kind == Kind.TAGGED && at - one.firstRunAt > memory + slack)) {
+            breaks(one, "takes effect twice");
+        }
+        one.firstRunAt = again ? one.firstRunAt : at;
+    }
+
+    /** The call is over: answered, or its connection has ended. {@code delivered} where the answer was a 200. */
+    public void callOver(String id, boolean delivered, long at) {
+        Account one = accounts.get(id);
+        if (one == null) {
+            return;
+        }
+        one.out--;
+        if (one.besideSince >= 0 && one.out <= 1) {
+            judgeBeside(one, at);
+        }
+        one.note(at, delivered ? "is answered 200" : "its call ends");
+        if (delivered) {
+            end(one, End.FULFILLED, at);
+        }
+    }
+
+    /**
+     * A call may be ended just ahead of the next one, on another connection, and which of the two is read first is
+     * chance: only what lasts is two at once.
+     */
+    private void judgeBeside(Account one, long at) {
+        if (at - one.besideSince > SAME_MOMENT) {
+            breaks(one, "two shots at once");
+        }
+        one.besideSince = -1;
+    }
+
+    public void waitTold(String where, long length, long at) {
+        if (at + length > waits.getOrDefault(where, 0L)) {
+            waits.put(where, at + length);
+            waitLengths.put(where, length);
+        }
+    }
+
+    /** The list has told that nothing new is to go there; {@code open} takes it back. */
+    public void listed(String endpoint, boolean open, long at) {
+        if (open) {
+            closed.remove(endpoint);
+        } else {
+            closed.putIfAbsent(endpoint, at);
+        }
+    }
+
+    /** The platform has heard of an end. */
+    public void notice(String id, boolean handedBack, long at) {
+        Account one = accounts.get(id);
+        if (one == null) {
+            broken.add("a notice for an envelope that nobody handed in: " + id);
+            return;
+        }
+        one.note(at, handedBack ? "is handed back" : "is given up");
+        if (handedBack && one.runs > 0 && one.kind == Kind.ONCE_ONLY) {
+            breaks(one, "handed back although it ran");
+        }
+        end(one, handedBack ? End.DEFERRED : End.ABORTED, at);
+    }
+
+    private void end(Account one, End end, long at) {
+        // A notice for one that was delivered does no harm, nor does a delivery whose answer came too late.
+        if (one.end == End.OPEN) {
+            one.end = end;
+            one.endedAt = at;
+        } else if (end == End.FULFILLED && one.kind != Kind.ONCE_ONLY) {
+            one.end = end;
+        }
+    }
+
+    private void breaks(Account one, String rule) {
+        broken.add(one.id + " (" + one.offering + "): " + rule + "; " + String.join(", ", one.history));
+    }
+
+    /** Envelopes that were taken on and have no end yet. */
+    public long open() {
+        return accounts.values().stream().filter(one -> one.taken && one.end == End.OPEN).count();
+    }
+
+    /** Closes the books: whatever was taken on and is past its time without an end is lost. */
+    public void close(long at) {
+        for (Account one : accounts.values()) {
+            if (one.besideSince >= 0) {
+                judgeBeside(one, at);
+            }
+            if (one.taken && one.end == End.OPEN && at > one.expiry + 300_000 + slack) {
+                breaks(one, "lost");
+            }
+        }
+    }
+
+    /** Broken rules, a sentence each. */
+    public List<String> broken() {
+        return List.copyOf(broken);
+    }
+
+    public Collection<Account> all() {
+        return accounts.values();
+    }
+}
