--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -77,16 +77,22 @@
         ServeWord serve = new ServeWord();
         CheckWord check = new CheckWord();
         EventsWord events = new EventsWord();
-        JCommander line = JCommander.newBuilder().programName("yewpath").addObject(main).addCommand("serve", serve)
-            .addCommand("check", check).addCommand("config", new ConfigWord()).addCommand("events", events)
-            .addCommand("wirehost", new WireHostWord()).addCommand("version", new VersionWord()).build();
-        JCommander config = line.getCommands().get("config");
         ConfigCheckWord configCheck = new ConfigCheckWord();
         ConfigShowWord configShow = new ConfigShowWord();
         ConfigKeysWord configKeys = new ConfigKeysWord();
-        config.addCommand("check", configCheck);
-        config.addCommand("show", configShow);
-        config.addCommand("keys", configKeys);
+        JCommander line = JCommander.newBuilder().programName("yewpath").addObject(main).addCommand("serve", serve).build();
+        // Each further word costs a start some reading of its annotations: a relay that comes back needs one.
+        if (args.length == 0 || !args[0].equals("serve")) {
+            line.addCommand("check", check);
+            line.addCommand("config", new ConfigWord());
+            line.addCommand("events", events);
+            line.addCommand("wirehost", new WireHostWord());
+            line.addCommand("version", new VersionWord());
+            JCommander config = line.getCommands().get("config");
+            config.addCommand("check", configCheck);
+            config.addCommand("show", configShow);
+            config.addCommand("keys", configKeys);
+        }
         JCommander asked = helpFor(line, args);
         if (asked != null) {
             asked.usage();
@@ -107,6 +113,7 @@
             case "serve" -> serve(serve);
             case "check" -> check(check);
             case "config" -> {
+                JCommander config = line.getCommands().get("config");
                 if (config.getParsedCommand() == null) {
                     fail("config needs one of check, show and keys");
                 }
--- a/standins/src/main/java/yewpath/standins/demo/Demo.java
+++ b/standins/src/main/java/yewpath/standins/demo/Demo.java
@@ -12,6 +12,7 @@
 import yewpath.standins.peer.Client;
 import yewpath.standins.peer.Endpoint;
 import yewpath.standins.peer.Platform;
+import yewpath.standins.process.RelayConfig;
 import yewpath.standins.process.RelayProcess;
 import yewpath.standins.referee.Accounts;
 import yewpath.standins.referee.Accounts.End;
@@ -23,10 +24,10 @@
  */
 final class Demo {
     private static final long SECOND = 1_000_000, LOAD = 8 * SECOND, EXPIRY = 6 * SECOND;
-    private static final List<RelayProcess.Offering> OFFERINGS = List.of(
-        new RelayProcess.Offering("status", "pure", false, 1_000, 6_000),
-        new RelayProcess.Offering("serial", "token", true, 2_000, 6_000),
-        new RelayProcess.Offering("order", "side_effect", false, 2_000, 6_000));
+    private static final List<RelayConfig.Offering> OFFERINGS = List.of(
+        new RelayConfig.Offering("status", "pure", false, 1_000, 6_000),
+        new RelayConfig.Offering("serial", "token", true, 2_000, 6_000),
+        new RelayConfig.Offering("order", "side_effect", false, 2_000, 6_000));
     private static final List<Kind> KINDS = List.of(Kind.REPEATABLE, Kind.TAGGED, Kind.ONCE_ONLY);
 
     private final PrintStream say;
