The lab's emulator: calendar, world, the real Logic beside textbook policies, a referee, scenario files

Need: designs could not be tried at sizes that sockets don't reach, nor rules checked on every event. Change: module configuration (typed TOML, shared by relay and lab); lab: core, world, policy, referee, scenario, run; commands run and keys; two scenarios. Runs can be stopped and taken up again. The referee first took a wait to bind relays that were not told, and a call's end and the next one's first byte to be in order: both mended there.

--- a/relay/src/main/java/yewpath/operator/Key.java
+++ b/configuration/src/main/java/yewpath/configuration/Key.java
@@ -1,9 +1,9 @@
-package yewpath.operator;
+package yewpath.configuration;
 
 import java.util.List;
 
 /**
- * One thing that an operator may set: {@code path} in the file, its type, what holds where the file says nothing,
+ * One thing that may be set: {@code path} in the file, its type, what holds where the file says nothing,
  * the range, whether a running relay takes it up on SIGHUP, and a sentence for the reference.
  */
 public final class Key {
@@ -31,15 +31,20 @@
     }
 
     /** {@code standard} may be null; the bounds are in the unit inside. */
-    static Key number(String path, Type type, Object standard, double least, double most, boolean live,
+    public static Key number(String path, Type type, Object standard, double least, double most, boolean live,
                       String sentence) {
         return new Key(path, type, standard, least, most, List.of(), live, sentence);
     }
 
-    static Key word(String path, String standard, List<String> words, boolean live, String sentence) {
+    public static Key word(String path, String standard, List<String> words, boolean live, String sentence) {
         return new Key(path, Type.WORD, standard, 0, 0, words, live, sentence);
     }
 
+    /** A text, flag or list of texts; {@code standard} may be null. */
+    public static Key plain(String path, Type type, Object standard, String sentence) {
+        return new Key(path, type, standard, 0, 0, List.of(), false, sentence);
+    }
+
     public String table() {
         return path.substring(0, path.indexOf('.'));
     }
@@ -55,6 +60,9 @@
     }
 
     public String range() {
+        if (type == Type.TEXT || type == Type.FLAG || type == Type.TEXTS) {
+            return type.example;
+        }
         if (type == Type.WORD) {
             return "one of " + String.join(", ", words);
         }
--- a/relay/src/main/java/yewpath/operator/Type.java
+++ b/configuration/src/main/java/yewpath/configuration/Type.java
@@ -1,10 +1,11 @@
-package yewpath.operator;
+package yewpath.configuration;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.tomlj.TomlArray;
 
 /** How a value is written in the file, what it is inside the relay, and how it is shown again. */
 public enum Type {
@@ -17,7 +18,13 @@
     /** A part of something: Double. */
     PART("a number such as 0.4"),
     /** One of a few words: String. */
-    WORD("one of the words named");
+    WORD("one of the words named"),
+    /** Any text: String. */
+    TEXT("a text in quotes"),
+    /** Yes or no: Boolean. */
+    FLAG("true or false"),
+    /** Texts: a list of String. */
+    TEXTS("a list of texts such as [\"a\", \"b\"]");
 
     private static final Map<String, Long> SPANS = units("us", 1L, "ms", 1_000L, "s", 1_000_000L, "min", 60_000_000L,
         "h", 3_600_000_000L);
@@ -39,12 +46,15 @@
     }
 
     /** The value inside; throws IllegalArgumentException, with what would be right, for any other kind of value. */
-    Object read(Object written) {
+    public Object read(Object written) {
         Object value = switch (this) {
             case COUNT -> written instanceof Long ? written : null;
             case PART -> written instanceof Long whole ? (Object) whole.doubleValue() : written instanceof Double ? written
                 : null;
-            case WORD -> written instanceof String ? written : null;
+            case WORD, TEXT -> written instanceof String ? written : null;
+            case FLAG -> written instanceof Boolean ? written : null;
+            case TEXTS -> written instanceof TomlArray list && list.toList().stream().allMatch(String.class::isInstance)
+                ? List.copyOf(list.toList()) : null;
             case SPAN -> written instanceof String text ? measure(text, SPANS) : null;
             case SIZE -> written instanceof String text ? measure(text, SIZES) : null;
         };
@@ -66,8 +76,8 @@
     /** As it would be written in the file. */
     public String show(Object value) {
         return switch (this) {
-            case COUNT, PART -> String.valueOf(value);
-            case WORD -> '"' + (String) value + '"';
+            case COUNT, PART, FLAG, TEXTS -> String.valueOf(value);
+            case WORD, TEXT -> '"' + (String) value + '"';
             case SPAN -> '"' + inUnits((Long) value, SPANS) + '"';
             case SIZE -> '"' + inUnits((Long) value, SIZES) + '"';
         };
--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -9,6 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import yewpath.configuration.Faults;
+import yewpath.lab.run.Runs;
+import yewpath.lab.scenario.ScenarioFile;
 
 /** The command line of the lab. Exit codes: 0 done; 1 it went wrong; 2 the words were not understood. */
 public final class Main {
@@ -30,6 +33,19 @@
         int count = 100_000;
     }
 
+    @Parameters(commandDescription = "Play a scenario's runs over all cores; what the folder holds already is not played again")
+    private static final class RunWord {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+        @Parameter(names = "--to", description = "Folder of the results; found/NAME where absent")
+        String to;
+        @Parameter(names = "--threads", description = "Runs at once; all cores where absent")
+        int threads = Runtime.getRuntime().availableProcessors();
+    }
+
+    @Parameters(commandDescription = "Every key of a scenario file")
+    private static final class KeysWord { }
+
     @Parameters(commandDescription = "Print the version")
     private static final class VersionWord { }
 
@@ -41,9 +57,10 @@
     public static void main(String[] args) throws InterruptedException {
         Main main = new Main();
         StartsWord starts = new StartsWord();
+        RunWord run = new RunWord();
         FootprintWord footprint = new FootprintWord();
         JCommander line = JCommander.newBuilder().programName("yewpath-lab").addObject(main)
-            .addCommand("starts", starts).addCommand("footprint", footprint).addCommand("version", new VersionWord()).build();
+            .addCommand("run", run).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("version", new VersionWord()).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -56,6 +73,13 @@
         if (line.getParsedCommand() == null) {
             fail("a command is missing (yewpath-lab --help lists them)");
         }
+        if (line.getParsedCommand().equals("run")) {
+            System.exit(run(run));
+        }
+        if (line.getParsedCommand().equals("keys")) {
+            System.out.print(ScenarioFile.reference());
+            return;
+        }
         if (line.getParsedCommand().equals("starts")) {
             System.exit(starts(starts));
         }
@@ -69,6 +93,31 @@
         System.out.println("yewpath-lab " + (version == null ? "unpackaged" : version));
     }
 
+    private static int run(RunWord words) throws InterruptedException {
+        if (words.files.size() != 1 || words.threads < 1) {
+            fail("run takes one file, and at least one thread");
+        }
+        try {
+            Path file = Path.of(words.files.get(0));
+            ScenarioFile scenario = ScenarioFile.read(file.toString());
+            Path folder = Files.createDirectories(words.to == null ? Path.of("found", scenario.base().name) : Path.of(words.to));
+            Path kept = folder.resolve("scenario.toml");
+            if (Files.exists(kept) && !Files.readString(kept).equals(Files.readString(file))) {
+                fail(folder + " holds runs of another scenario; name another folder by --to");
+            }
+            Files.writeString(kept, Files.readString(file));
+            int code = new Runs(System.out, folder, scenario).play(words.threads);
+            System.out.println("results in " + folder);
+            return code;
+        } catch (Faults faults) {
+            faults.lines().forEach(System.err::println);
+            return 2;
+        } catch (IOException e) {
+            System.err.println("yewpath-lab: " + e.getMessage());
+            return 1;
+        }
+    }
+
     private static int starts(StartsWord words) throws InterruptedException {
         if (words.times < 1 || words.times > 100 || words.envelopes < 1 || words.envelopes > 100_000 || words.rate < 1
             || words.rate > 5_000) {
--- /dev/null
+++ b/lab/src/main/java/yewpath/lab/world/Shot.java
@@ -0,0 +1,37 @@
+package yewpath.lab.world;
+
+import yewpath.lab.core.Calendar;
+
+/** One call on its way, at its endpoint, or on its way back. */
+final class Shot {
+    final Envelope envelope;
+    final Station to;
+    final RelayHost from;
+    final int local;
+    final int number;
+    final long sentAt;
+    Calendar.Entry within;
+    /** Whether its last byte has left the relay, and whether the endpoint has had it. */
+    boolean left;
+    boolean arrived;
+    boolean inService;
+    /** Whether its endpoint knows that it is over. */
+    boolean known;
+    boolean abandoned;
+    /** Whether the relay has its outcome. */
+    boolean settled;
+
+    Shot(Envelope envelope, Station to, RelayHost from, int local, int number, long sentAt) {
+        this.envelope = envelope;
+        this.to = to;
+        this.from = from;
+        this.local = local;
+        this.number = number;
+        this.sentAt = sentAt;
+    }
+
+    /** The endpoint's word, not yet at the relay. */
+    void answered(int outcome, long pause) {
+        from.answerLeaves(this, outcome, pause);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/yewpath/lab/world/World.java
@@ -0,0 +1,230 @@
+package yewpath.lab.world;
+
+import org.HdrHistogram.Histogram;
+import yewpath.Settings;
+import yewpath.lab.core.Calendar;
+import yewpath.lab.core.Chance;
+import yewpath.lab.referee.Referee;
+import yewpath.lab.scenario.Scenario;
+
+/** One run: builds the world, plays it to its end, and tells what became of it. One thread; the same seed, the same run. */
+public final class World {
+    /** What a run comes to. Delays are in microseconds. */
+    public record Outcome(double service, double fulfilled, double inTime, double failed, long wishes, long handIns, long refusals,
+                          long deferrals, long falls, int broken, long events, double decideMicros, Histogram delays,
+                          java.util.List<String> rulesBroken) { }
+
+    private static final long AFTER = 1_000_000;
+    final Scenario s;
+    final String policyName;
+    final long seed;
+    final Calendar calendar = new Calendar();
+    final Referee referee;
+    final Station[] stations;
+    final Crowd crowd;
+    private final Place[] places;
+    private final RelayHost[] relays;
+    /** Which relays the front takes to be up. */
+    private final boolean[] fronted;
+    private final Chance network;
+    private final Chance losses;
+    private final Chance troubles;
+    private boolean[] cut;
+
+    public World(Scenario scenario, String policyName, long seed) {
+        s = scenario;
+        this.policyName = policyName;
+        this.seed = seed;
+        // Baselines break what they break by design: they are counted, not stopped.
+        referee = new Referee(s.strict, 250_000 + 50_000, 100_000 + 50_000, 300_000 + 50_000);
+        network = chance("network");
+        losses = chance("losses");
+        troubles = chance("troubles");
+        places = new Place[s.destinations];
+        stations = new Station[s.destinations * s.endpointsEach];
+        for (int i = 0; i < places.length; i++) {
+            places[i] = new Place(i, s);
+        }
+        Chance faults = chance("faults");
+        Chance service = chance("service");
+        for (int i = 0; i < stations.length; i++) {
+            stations[i] = new Station(i, places[i / s.endpointsEach], s, calendar, referee, service, faults);
+        }
+        cut = new boolean[stations.length];
+        crowd = new Crowd(this);
+        relays = new RelayHost[s.relays];
+        fronted = new boolean[s.relays];
+        for (int i = 0; i < relays.length; i++) {
+            relays[i] = new RelayHost(this, i);
+            fronted[i] = true;
+        }
+    }
+
+    Chance chance(String cause) {
+        return new Chance(seed, cause);
+    }
+
+    static Referee.Kind kind(String word) {
+        return Referee.Kind.valueOf(word.toUpperCase(java.util.Locale.ROOT).replace('-', '_'));
+    }
+
+    /** Plays the run. A broken rule in a strict scenario ends it by {@link Referee.Broken}. */
+    public Outcome play() {
+        crowd.begin();
+        for (Scenario.Trouble trouble : s.troubles) {
+            calendar.at(trouble.at(), () -> begin(trouble));
+        }
+        long longest = 0;
+        for (Scenario.Offering offering : s.offerings) {
+            longest = Math.max(longest, offering.expiry());
+        }
+        long end = s.length + longest + AFTER;
+        calendar.playTo(end);
+        referee.close(end, crowd.envelopes());
+        long falls = 0;
+        for (Station one : stations) {
+            falls += one.falls;
+        }
+        long nanos = 0;
+        for (RelayHost relay : relays) {
+            nanos += relay.decideNanos;
+        }
+        double wishes = Math.max(1, crowd.wishes);
+        return new Outcome(crowd.possible == 0 ? 1 : crowd.revenue / crowd.possible, crowd.fulfilled / wishes,
+            crowd.inAgreedTime / wishes, crowd.failed / wishes, crowd.wishes, crowd.handIns, crowd.refusals, crowd.deferrals, falls,
+            referee.countAll(), calendar.played(), nanos / 1e3 / Math.max(1, crowd.envelopes()), crowd.delays, referee.first());
+    }
+
+    // ---- Troubles
+
+    private void begin(Scenario.Trouble trouble) {
+        int first = 0;
+        switch (trouble.what()) {
+            case "burst" -> {
+                crowd.burst *= trouble.amount();
+                calendar.in(trouble.length(), () -> crowd.burst /= trouble.amount());
+            }
+            case "relay-kill", "relay-lost" -> {
+                int count = Math.max(1, (int) Math.round(trouble.part() * relays.length));
+                first = troubles.below(relays.length);
+                for (int i = 0; i < count; i++) {
+                    kill((first + i) % relays.length, trouble);
+                }
+            }
+            default -> {
+                int count = Math.max(1, (int) Math.round(trouble.part() * places.length));
+                first = troubles.below(places.length);
+                for (int i = 0; i < count; i++) {
+                    int place = (first + i) % places.length;
+                    for (int j = 0; j < s.endpointsEach; j++) {
+                        Station one = stations[place * s.endpointsEach + j];
+                        turn(one, trouble, true);
+                        calendar.in(trouble.length(), () -> turn(one, trouble, false));
+                    }
+                }
+            }
+        }
+    }
+
+    private void turn(Station one, Scenario.Trouble trouble, boolean on) {
+        switch (trouble.what()) {
+            case "silent" -> one.silent = on;
+            case "refuse" -> {
+                one.refusing = on;
+                if (on) {
+                    one.drop();
+                } else {
+                    one.comesBackCold();
+                }
+            }
+            case "vanish" -> {
+                one.vanished = on;
+                if (!on) {
+                    one.comesBackCold();
+                }
+            }
+            case "slow" -> one.slow = on ? trouble.amount() : 1;
+            case "errors" -> one.errors = on ? trouble.amount() : 0;
+            case "resets" -> one.resets = on ? trouble.amount() : 0;
+            case "limit" -> one.place.limitFactor = on ? trouble.amount() : 1;
+            case "partition" -> cut[one.index] = on;
+            case "drain" -> {
+                one.draining = on;
+                calendar.in(s.directoryDelay, () -> {
+                    for (RelayHost relay : relays) {
+                        relay.listed(one);
+                    }
+                });
+            }
+            default -> throw new IllegalArgumentException("unknown trouble " + trouble.what());
+        }
+    }
+
+    private void kill(int which, Scenario.Trouble trouble) {
+        RelayHost relay = relays[which];
+        if (!relay.up) {
+            return;
+        }
+        relay.dies(trouble.what().equals("relay-kill"));
+        // The front notices after some seconds.
+        calendar.in(Math.min(trouble.length(), 2_000_000), () -> fronted[which] = relay.up);
+        calendar.in(trouble.length(), () -> {
+            relay.returns();
+            fronted[which] = true;
+        });
+    }
+
+    // ---- What relays and clients ask of the world
+
+    RelayHost choose(Chance chance) {
+        int first = chance.below(relays.length);
+        for (int i = 0; i < relays.length; i++) {
+            int at = (first + i) % relays.length;
+            if (fronted[at]) {
+                return relays[at];
+            }
+        }
+        return relays[first];
+    }
+
+    long trip() {
+        return Math.max(1, Math.round(network.logNormal(s.delay, s.delaySpread)));
+    }
+
+    boolean lost() {
+        return losses.is(s.loss);
+    }
+
+    boolean parted(int relay, Station from) {
+        return cut[from.index] && relay % 2 == 0;
+    }
+
+    double listedRate() {
+        return s.limit > 0 ? s.limit : s.endpointsEach * s.capacity * 1e6 / s.service;
+    }
+
+    Settings settings(int self) {
+        Settings t = new Settings();
+        t.relays = s.relays;
+        t.self = self;
+        t.slots = s.slots;
+        t.holdLimit = s.hold;
+        t.shotLimit = s.tries;
+        t.mayCancel = true;
+        t.listTellsRate = true;
+        t.tellsPause = true;
+        t.pauseLimit = 10_000_000;
+        t.coldFrom = s.coldFrom;
+        t.coldFor = s.coldFor;
+        t.fallMultiple = s.fallMultiple;
+        t.fallFor = s.fallFor;
+        t.settleAfterDoubt = 500_000;
+        t.connectTimeout = s.connectTimeout;
+        t.connectionIdle = s.connectionIdle;
+        t.routesApart = new boolean[1];
+        t.bundle = new int[] {1};
+        t.offerings = s.offerings.stream().map(o -> new Settings.Offering(o.revenue(), o.lateRevenue(), o.agreed(), o.expiry(),
+            Settings.Kind.valueOf(kind(o.kind()).name()), false, o.memory(), o.ordered())).toArray(Settings.Offering[]::new);
+        return t;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/yewpath/lab/EmulatorTest.java
@@ -0,0 +1,245 @@
+package yewpath.lab;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import yewpath.configuration.Faults;
+import yewpath.lab.core.Calendar;
+import yewpath.lab.core.Chance;
+import yewpath.lab.policy.Policies;
+import yewpath.lab.referee.Referee;
+import yewpath.lab.run.Runs;
+import yewpath.lab.scenario.ScenarioFile;
+import yewpath.lab.world.World;
+
+/** The emulator's parts, its files, and small worlds. */
+public final class EmulatorTest {
+    private static final String SMALL = "[run]\nlength = \"5 s\"\nstrict = true\n[world]\nrelays = 2\ndestinations = 3\n[load]\nrate = 60\n"
+        + "keys = 4\n[endpoint]\nlimit = 30\nlimit_wait = \"300 ms\"\n[[offering]]\nname = \"a\"\n[[offering]]\nname = \"b\"\nkind = \"once-only\"\n"
+        + "[[offering]]\nname = \"c\"\nkind = \"tagged\"\nordered = true\n";
+
+    private static World.Outcome play(String text, String policy, long seed) throws Faults {
+        return new World(ScenarioFile.parse("s.toml", text).at(Map.of()), policy, seed).play();
+    }
+
+    @Test
+    public void eventsComeByTimeAndThoseOfOneInstantInTheirOrder() {
+        Calendar calendar = new Calendar();
+        List<Integer> times = new ArrayList<>();
+        for (int i = 0; i < 5_000; i++) {
+            times.add(i / 5);
+        }
+        Collections.shuffle(times, new Random(3));
+        List<long[]> played = new ArrayList<>();
+        for (int i = 0; i < times.size(); i++) {
+            long[] one = {times.get(i), i};
+            calendar.at(times.get(i), () -> played.add(one));
+        }
+        Calendar.Entry calledOff = calendar.timer(500, () -> played.add(new long[] {-1, -1}));
+        calledOff.callOff();
+        calendar.playTo(10_000);
+        assertEquals(played.size(), 5_000);
+        for (int i = 1; i < played.size(); i++) {
+            long[] a = played.get(i - 1);
+            long[] b = played.get(i);
+            assertTrue(a[0] < b[0] || a[0] == b[0] && a[1] < b[1], "at " + i);
+        }
+        assertEquals(calendar.now(), 10_000);
+        assertEquals(calendar.played(), 5_000);
+    }
+
+    @Test
+    public void whatAnEventEntersForItsOwnInstantIsPlayedBehindWhatStands() {
+        Calendar calendar = new Calendar();
+        List<String> played = new ArrayList<>();
+        calendar.at(5, () -> {
+            played.add("first");
+            calendar.in(0, () -> played.add("third"));
+        });
+        calendar.at(5, () -> played.add("second"));
+        calendar.playTo(5);
+        assertEquals(played, List.of("first", "second", "third"));
+    }
+
+    @Test
+    public void causesHaveStreamsOfTheirOwn() {
+        Chance one = new Chance(7, "network");
+        Chance same = new Chance(7, "network");
+        Chance other = new Chance(7, "service");
+        double drawn = one.uniform();
+        assertEquals(same.uniform(), drawn);
+        assertNotEquals(other.uniform(), drawn);
+        double sum = 0;
+        for (int i = 0; i < 200_000; i++) {
+            sum += one.logNormal(10, 0.5);
+        }
+        assertEquals(sum / 200_000, 10, 0.1);
+    }
+
+    @Test
+    public void theSameSeedIsTheSameRunAndAnotherIsNot() throws Faults {
+        World.Outcome first = play(SMALL, "logic", 1);
+        World.Outcome again = play(SMALL, "logic", 1);
+        assertEquals(again.events(), first.events());
+        assertEquals(again.service(), first.service());
+        assertEquals(again.delays(), first.delays());
+        assertNotEquals(play(SMALL, "logic", 2).events(), first.events());
+    }
+
+    @DataProvider
+    public Object[][] policies() {
+        return Policies.names().stream().map(name -> new Object[] {name}).toArray(Object[][]::new);
+    }
+
+    /** None of them is meant to break a rule, in trouble or out of it. */
+    @Test(dataProvider = "policies")
+    public void noPolicyBreaksARule(String policy) throws Faults {
+        String troubled = SMALL.replace("5 s", "20 s") + trouble("refuse", 2, 2, 0.4, 1) + trouble("silent", 3, 2, 0.4, 1)
+            + trouble("relay-kill", 5, 1, 0, 1) + trouble("drain", 6, 2, 0.4, 1) + trouble("errors", 8, 3, 1, 0.2)
+            + trouble("resets", 9, 2, 1, 0.2) + trouble("relay-lost", 12, 1, 0, 1) + trouble("partition", 13, 2, 0.5, 1)
+            + trouble("vanish", 14, 2, 0.4, 1) + trouble("burst", 15, 2, 0, 4) + trouble("slow", 16, 2, 1, 10);
+        World.Outcome outcome = play(troubled.replace("[endpoint]", "[endpoint]\nfalls_at = 0"), policy, 3);
+        assertTrue(outcome.fulfilled() > 0.3, policy + " fulfilled " + outcome.fulfilled());
+        assertEquals(outcome.broken(), 0, outcome.rulesBroken().toString());
+    }
+
+    private static String trouble(String what, int at, int length, double part, double amount) {
+        return "[[trouble]]\nwhat = \"" + what + "\"\nat = \"" + at + " s\"\nfor = \"" + length + " s\"\npart = " + part + "\namount = "
+            + amount + "\n";
+    }
+
+    @DataProvider
+    public Object[][] edges() {
+        return new Object[][] {
+            {"no traffic", "[run]\nstrict = true\nlength = \"2 s\"\n[load]\nrate = 0"},
+            {"one of each", "[run]\nstrict = true\nlength = \"5 s\"\n[world]\nrelays = 1\ndestinations = 1\nendpoints = 1\n[load]\nrate = 5"},
+            {"troubles that overlap", "[run]\nstrict = true\nlength = \"6 s\"\n" + trouble("refuse", 1, 3, 1, 1) + trouble("vanish", 2, 3, 1, 1)
+                + trouble("silent", 2, 1, 1, 1)},
+            {"all relays dead at once", SMALL + trouble("relay-kill", 2, 1, 1, 1)},
+        };
+    }
+
+    @Test(dataProvider = "edges")
+    public void edgesArePlayed(String what, String text) throws Faults {
+        World.Outcome outcome = play(text, "logic", 1);
+        assertEquals(outcome.broken(), 0, what);
+        assertTrue(outcome.wishes() > 0 == !what.equals("no traffic"), what);
+    }
+
+    @Test
+    public void ifAllGoesWellAllIsDeliveredAtTheEndpointsPace() throws Faults {
+        World.Outcome outcome = play("[run]\nlength = \"20 s\"\n[endpoint]\nspread = 0.0\n[network]\nspread = 0.0", "one-try", 1);
+        assertEquals(outcome.fulfilled(), 1.0);
+        // Service 20 ms and two ways of 1 ms to the endpoint, one from the client: what nobody waits for.
+        assertEquals(outcome.delays().getValueAtPercentile(50) / 1e3, 23.0, 1.0);
+    }
+
+    @DataProvider
+    public Object[][] faulty() {
+        return new Object[][] {
+            {"[load]\nrat = 3", "s.toml:2: unknown key load.rat; the nearest known is load.rate"},
+            {"[run]\nlength = \"3 KiB\"", "s.toml:2: run.length should be a time"},
+            {"[run]\npolicies = [\"logic\", \"magic\"]", "s.toml:2: run.policies: no policy magic"},
+            {"[sweep]\n\"load.rat\" = [1]", "sweep.load.rat: no number of that name"},
+            {"[sweep]\n\"load.rate\" = [1, \"x\"]", "should be a number or a list of numbers"},
+            {"[sweep]\n\"world.relays\" = [0]", "sweep.world.relays should be from 1"},
+            {"[[trouble]]\nwhat = \"rain\"\nat = \"1 s\"\nfor = \"1 s\"", "s.toml:2: trouble.what should be one of silent"},
+            {"[[trouble]]\nwhat = \"silent\"\nfor = \"1 s\"", "s.toml:1: trouble.at is missing"},
+            {"[[offering]]\nname = \"a\"\nagreed = \"9 s\"", "offering a: agreed exceeds expiry"},
+            {"[[offering]]\nnme = \"a\"", "unknown key offering.nme; the nearest known is offering.name"},
+        };
+    }
+
+    @Test(dataProvider = "faulty")
+    public void aScenarioWithAFaultIsTold(String text, String told) {
+        List<String> lines = expectThrows(Faults.class, () -> ScenarioFile.parse("s.toml", text)).lines();
+        assertTrue(lines.stream().anyMatch(line -> line.startsWith("s.toml") && line.contains(told)), lines.toString());
+    }
+
+    @Test
+    public void allScenariosThatComeWithTheLabAreWithoutFault() throws Exception {
+        try (var files = Files.list(Path.of("scenarios"))) {
+            for (Path file : files.toList()) {
+                ScenarioFile.read(file.toString()).points();
+            }
+        }
+    }
+
+    @Test
+    public void aStoppedRunTakenUpAgainGivesTheSameTable() throws Exception {
+        ScenarioFile file = ScenarioFile.parse("s.toml", SMALL + "[sweep]\n\"load.rate\" = [20, 40]\n");
+        PrintStream nowhere = new PrintStream(new ByteArrayOutputStream());
+        Path whole = Files.createTempDirectory("lab");
+        Path parts = Files.createTempDirectory("lab");
+        assertEquals(new Runs(nowhere, whole, file).play(2), 0);
+        List<String> lines = Files.readAllLines(whole.resolve("runs.jsonl"));
+        // Stopped in the middle of its second line.
+        Files.writeString(parts.resolve("runs.jsonl"), lines.get(0) + "\n" + lines.get(1).substring(0, lines.get(1).length() / 2));
+        assertEquals(new Runs(nowhere, parts, file).play(1), 0);
+        assertEquals(Files.readString(parts.resolve("table.csv")), Files.readString(whole.resolve("table.csv")));
+        assertEquals(Files.readAllLines(whole.resolve("table.csv")).size(), 3);
+    }
+
+    @Test
+    public void theRefereeSeesEachRuleBroken() {
+        for (Referee.Rule rule : Referee.Rule.values()) {
+            Referee referee = new Referee(true, 250_000, 100_000, 300_000);
+            referee.handedIn(0, 0, 0, Referee.Kind.ONCE_ONLY, 1_000_000, 0);
+            referee.handedIn(0, 1, 1, Referee.Kind.REPEATABLE, 1_000_000, 0);
+            referee.taken(0, 0, 0);
+            referee.taken(0, 1, 0);
+            Referee.Broken broken = expectThrows(Referee.Broken.class, () -> breakIt(referee, rule));
+            assertEquals(broken.rule, rule);
+            assertTrue(broken.getMessage().contains("HANDED_IN"), broken.getMessage());
+        }
+    }
+
+    private static void breakIt(Referee referee, Referee.Rule rule) {
+        switch (rule) {
+            case LOST -> referee.close(1_300_001, 2);
+            case TWICE -> {
+                referee.ran(10, 0, 0);
+                // Over a restart, which excuses nothing of that.
+                referee.died(0);
+                referee.restored(20, 0, 0);
+                referee.ran(30, 0, 1);
+            }
+            case AT_ONCE -> {
+                referee.arrived(10, 1, 0, 0);
+                referee.arrived(20, 1, 1, 0);
+                referee.callOver(60_000, 1, 0);
+            }
+            case DRAIN -> {
+                referee.listed(0, 0, 5, false);
+                referee.sent(250_000, 0, 0, 5, -1);
+                referee.sent(250_001, 0, 0, 5, -1);
+            }
+            case PUSHED_OVER -> referee.pushedOver(10, 0, 5);
+            case ORDER -> {
+                referee.sent(10, 0, 0, 5, 3);
+                referee.sent(20, 1, 1, 5, 3);
+                referee.back(0, 0, 3);
+                referee.sent(30, 0, 0, 5, 3);
+                referee.sent(40, 1, 0, 5, 3);
+            }
+            default -> {
+                referee.waitTold(0, 9, 500_000);
+                referee.arrived(100_000, 0, 0, 9);
+                referee.arrived(400_000, 1, 0, 9);
+            }
+        }
+    }
+}
--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import yewpath.configuration.Faults;
 import yewpath.events.Event;
 import yewpath.operator.Operator;
 import yewpath.operator.OperatorFile;
@@ -164,7 +165,7 @@
     private static Operator operator(String file) {
         try {
             return OperatorFile.read(file);
-        } catch (OperatorFile.Faults faults) {
+        } catch (Faults faults) {
             faults.lines().forEach(System.err::println);
             System.exit(2);
             throw new IllegalStateException();
--- a/relay/src/main/java/yewpath/operator/Catalogue.java
+++ b/relay/src/main/java/yewpath/operator/Catalogue.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import yewpath.configuration.Key;
+import yewpath.configuration.Type;
 
 /** All keys of the operator's file. A subsystem adds its table and keys here, and reads them from {@link Operator}. */
 public final class Catalogue {
@@ -110,10 +112,6 @@
         return TABLES;
     }
 
-    public static Key find(String path) {
-        return ALL.stream().filter(key -> key.path.equals(path)).findFirst().orElse(null);
-    }
-
     private static Key count(String path, Integer standard, long least, long most, boolean live, String sentence) {
         return add(Key.number(path, Type.COUNT, standard == null ? null : (Object) standard.longValue(), least, most, live,
             sentence));
--- a/relay/src/main/java/yewpath/operator/Operator.java
+++ b/relay/src/main/java/yewpath/operator/Operator.java
@@ -1,51 +1,48 @@
 package yewpath.operator;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
+import yewpath.configuration.Key;
+import yewpath.configuration.Values;
 
-/** What the operator's file says, over what holds where it says nothing. Never changes: a new file makes a new one. */
+/** What is in force: the operator's file over the catalogue. Never changes: a new file makes a new one. */
 public final class Operator {
     /** No file: all as it stands in the catalogue. */
-    public static final Operator STANDARD = new Operator(Map.of(), Map.of());
+    public static final Operator STANDARD = new Operator(new Values());
 
-    private final Map<Key, Object> told;
-    /** Where each told value stands, as "file:line". */
-    private final Map<Key, String> places;
+    private final Values values;
 
-    Operator(Map<Key, Object> told, Map<Key, String> places) {
-        this.told = new HashMap<>(told);
-        this.places = new HashMap<>(places);
+    Operator(Values values) {
+        this.values = values;
     }
 
     /** Null where neither the file nor the catalogue names a figure. */
     public Object value(Key key) {
-        return told.getOrDefault(key, key.standard);
+        return values.value(key);
     }
 
     /** Of counts, spans (microseconds) and sizes (bytes). */
     public long figure(Key key) {
-        return (Long) value(key);
+        return values.figure(key);
     }
 
     /** {@code derived} holds where the file says nothing. */
     public long figureOr(Key key, long derived) {
-        return told.containsKey(key) ? figure(key) : derived;
+        return values.isTold(key) ? values.figure(key) : derived;
     }
 
     public double part(Key key) {
-        return (Double) value(key);
+        return values.part(key);
     }
 
     public String word(Key key) {
-        return (String) value(key);
+        return values.word(key);
     }
 
     /** "file:line", "default" or "derived". */
     public String origin(Key key) {
-        return places.getOrDefault(key, key.standard == null ? "derived" : "default");
+        return values.origin(key);
     }
 
     /** The keys whose values differ, of those that a running relay takes up, or of the others. */
--- a/relay/src/main/java/yewpath/operator/Reference.java
+++ b/relay/src/main/java/yewpath/operator/Reference.java
@@ -1,6 +1,7 @@
 package yewpath.operator;
 
 import java.util.Map;
+import yewpath.configuration.Key;
 
 /** The catalogue as pages and listings; docs/configuration.md is written from here. */
 public final class Reference {
--- a/relay/src/main/java/yewpath/relay/Config.java
+++ b/relay/src/main/java/yewpath/relay/Config.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import yewpath.boot.Boot;
 import yewpath.boot.Malformed;
+import yewpath.configuration.Faults;
 import yewpath.directory.Listing;
 import yewpath.json.Tokens;
 import yewpath.loop.Limits;
@@ -115,7 +116,7 @@
         try {
             Operator operator = OperatorFile.read(operatorFile);
             return new Config(path, Files.readAllBytes(Path.of(path)), operatorFile, operator, environment);
-        } catch (OperatorFile.Faults faults) {
+        } catch (Faults faults) {
             throw new Fault(faults.getMessage());
         } catch (IOException e) {
             throw new Fault(path + " cannot be read: " + e.getMessage());
--- a/relay/src/test/java/yewpath/ArchitectureTest.java
+++ b/relay/src/test/java/yewpath/ArchitectureTest.java
@@ -37,7 +37,7 @@
             .layer("command").definedBy("yewpath.command").layer("relay").definedBy("yewpath.relay")
             .layer("stages").definedBy("yewpath.intake", "yewpath.delivery", "yewpath.outcome", "yewpath.directory")
             .layer("http").definedBy("yewpath.http").layer("loop").definedBy("yewpath.loop")
-            .layer("base").definedBy("yewpath.events", "yewpath.operator", "yewpath.json")
+            .layer("base").definedBy("yewpath.events", "yewpath.operator", "yewpath.json", "yewpath.configuration")
             .whereLayer("command").mayNotBeAccessedByAnyLayer().whereLayer("relay").mayOnlyBeAccessedByLayers("command")
             .whereLayer("stages").mayOnlyBeAccessedByLayers("relay")
             .whereLayer("http").mayOnlyBeAccessedByLayers("stages", "relay")
@@ -48,7 +48,7 @@
     public void onlyTheEdgesKnowTheLibrariesBehindThem() {
         noClasses().that().resideOutsideOfPackage("yewpath.events").should().dependOnClassesThat()
             .resideInAPackage("org.tinylog..").check(all);
-        noClasses().that().resideOutsideOfPackage("yewpath.operator").should().dependOnClassesThat()
+        noClasses().that().resideOutsideOfPackage("yewpath.configuration").should().dependOnClassesThat()
             .resideInAnyPackage("org.tomlj..", "org.apache.commons..").check(all);
         noClasses().that().resideOutsideOfPackage("yewpath.command").should().dependOnClassesThat()
             .resideInAPackage("com.beust..").check(all);
--- a/relay/src/test/java/yewpath/OperatorFileTest.java
+++ b/relay/src/test/java/yewpath/OperatorFileTest.java
@@ -9,14 +9,14 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import yewpath.configuration.Faults;
+import yewpath.configuration.Key;
+import yewpath.configuration.Type;
 import yewpath.events.Event;
 import yewpath.operator.Catalogue;
-import yewpath.operator.Key;
 import yewpath.operator.Operator;
 import yewpath.operator.OperatorFile;
-import yewpath.operator.OperatorFile.Faults;
 import yewpath.operator.Reference;
-import yewpath.operator.Type;
 
 /** What the operator's file may say, and what is said of one with faults. */
 public final class OperatorFileTest {
