--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -10,6 +10,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import yewpath.configuration.Faults;
+import yewpath.lab.report.Compare;
+import yewpath.lab.report.Report;
+import yewpath.lab.run.Results;
 import yewpath.lab.run.Runs;
 import yewpath.lab.scenario.ScenarioFile;
 
@@ -43,9 +46,33 @@
         int threads = Runtime.getRuntime().availableProcessors();
     }
 
+    @Parameters(commandDescription = "Pair two folders by seed and point, or two policies of one folder")
+    private static final class CompareWord {
+        @Parameter(description = "A [B]", required = true)
+        List<String> folders = new ArrayList<>();
+        @Parameter(names = "--policies", description = "Two of them, joined by a comma; needed with one folder")
+        List<String> policies = new ArrayList<>();
+        @Parameter(names = "--figures", description = "Which figures")
+        List<String> figures = new ArrayList<>(List.of("service", "in_time", "p99_ms"));
+    }
+
+    @Parameters(commandDescription = "Make a folder's page with plots")
+    private static final class ReportWord {
+        @Parameter(description = "FOLDER", required = true)
+        List<String> folders = new ArrayList<>();
+    }
+
     @Parameters(commandDescription = "Every key of a scenario file")
     private static final class KeysWord { }
 
+    @Parameters(commandDescription = "What runs cost by their size: events a second, Logic's share, heap")
+    private static final class SizesWord {
+        @Parameter(names = "--envelopes", description = "The most envelopes, 1000 to 10000000")
+        long envelopes = 1_000_000;
+        @Parameter(names = "--destinations", description = "The most destinations, 100 to 1000000")
+        int destinations = 100_000;
+    }
+
     @Parameters(commandDescription = "Print the version")
     private static final class VersionWord { }
 
@@ -58,9 +85,12 @@
         Main main = new Main();
         StartsWord starts = new StartsWord();
         RunWord run = new RunWord();
+        CompareWord compare = new CompareWord();
+        ReportWord report = new ReportWord();
+        SizesWord sizes = new SizesWord();
         FootprintWord footprint = new FootprintWord();
         JCommander line = JCommander.newBuilder().programName("yewpath-lab").addObject(main)
-            .addCommand("run", run).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("version", new VersionWord()).build();
+            .addCommand("run", run).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -76,6 +106,17 @@
         if (line.getParsedCommand().equals("run")) {
             System.exit(run(run));
         }
+        if (line.getParsedCommand().equals("compare") || line.getParsedCommand().equals("report")) {
+            try {
+                System.exit(line.getParsedCommand().equals("report") ? report(report) : compare(compare));
+            } catch (IOException e) {
+                System.err.println("yewpath-lab: cannot be read or written: " + e.getMessage());
+                System.exit(1);
+            } catch (Faults faults) {
+                faults.lines().forEach(System.err::println);
+                System.exit(2);
+            }
+        }
         if (line.getParsedCommand().equals("keys")) {
             System.out.print(ScenarioFile.reference());
             return;
@@ -83,6 +124,13 @@
         if (line.getParsedCommand().equals("starts")) {
             System.exit(starts(starts));
         }
+        if (line.getParsedCommand().equals("sizes")) {
+            try {
+                System.exit(new Sizes(System.out).run(sizes.envelopes, sizes.destinations));
+            } catch (Faults faults) {
+                throw new IllegalStateException(faults);
+            }
+        }
         if (line.getParsedCommand().equals("footprint")) {
             if (footprint.count < 1_000 || footprint.count > 1_000_000) {
                 fail("--count is from 1000 to 1000000");
@@ -118,6 +166,30 @@
         }
     }
 
+    private static int report(ReportWord words) throws IOException, Faults {
+        if (words.folders.size() != 1) {
+            fail("report takes one folder");
+        }
+        System.out.println(new Report(Path.of(words.folders.get(0))).write());
+        return 0;
+    }
+
+    private static int compare(CompareWord words) throws IOException {
+        if (words.folders.size() > 2 || words.folders.size() == 1 && words.policies.size() != 2 || words.policies.size() > 2) {
+            fail("compare takes two folders, or one and --policies with two");
+        }
+        if (!Runs.FIGURES.containsAll(words.figures)) {
+            fail("figures are " + String.join(", ", Runs.FIGURES));
+        }
+        List<Results.Row> a = Results.read(Path.of(words.folders.get(0)));
+        List<Results.Row> b = Results.read(Path.of(words.folders.get(words.folders.size() - 1)));
+        String first = words.policies.isEmpty() ? "logic" : words.policies.get(0);
+        String second = words.policies.size() < 2 ? first : words.policies.get(1);
+        Compare.say(System.out, a.stream().filter(row -> row.policy().equals(first)).toList(),
+            b.stream().filter(row -> row.policy().equals(second)).toList(), words.figures);
+        return 0;
+    }
+
     private static int starts(StartsWord words) throws InterruptedException {
         if (words.times < 1 || words.times > 100 || words.envelopes < 1 || words.envelopes > 100_000 || words.rate < 1
             || words.rate > 5_000) {
--- a/lab/src/main/java/yewpath/lab/policy/Policies.java
+++ b/lab/src/main/java/yewpath/lab/policy/Policies.java
@@ -220,9 +220,9 @@
         int room(Lane lane) {
             double room = 0;
             for (int endpoint : lane.endpoints) {
-                room += truth.applyAsDouble(endpoint);
+                room = Math.max(room, truth.applyAsDouble(endpoint));
             }
-            return lane.out + (room >= 1 ? 1 : 0);
+            return room >= 1 ? lane.out + 1 : 0;
         }
 
         @Override
--- /dev/null
+++ b/lab/src/main/java/yewpath/lab/report/package-info.java
@@ -0,0 +1,2 @@
+/** Reads folders of results: pairs two by seed, and makes a page with plots. */
+package yewpath.lab.report;
--- a/lab/src/main/java/yewpath/lab/run/Runs.java
+++ b/lab/src/main/java/yewpath/lab/run/Runs.java
@@ -73,6 +73,7 @@
                     synchronized (finished) {
                         Files.writeString(lines, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
                         histogram(run, outcome);
+                        series(run, outcome);
                         done.put(run.id(), line);
                         progress(++finished[0], left.size(), begun);
                     }
@@ -179,9 +180,24 @@
         return text + "\n";
     }
 
+    private void series(Run run, World.Outcome outcome) throws IOException {
+        StringBuilder csv = new StringBuilder("at_s,wished,fulfilled,refused,held,serving,waiting,relay_0_holds,relay_0_out\n");
+        for (World.Moment m : outcome.series()) {
+            csv.append(m.at() / 1e6).append(',').append(m.wished()).append(',').append(m.fulfilled()).append(',').append(m.refused())
+                .append(',').append(m.held()).append(',').append(m.serving()).append(',').append(m.waiting()).append(',')
+                .append(m.oneHolds()).append(',').append(m.oneHasOut()).append('\n');
+        }
+        Files.writeString(Files.createDirectories(folder.resolve("series")).resolve(file(run.id()) + ".csv"), csv);
+    }
+
+    /** A file's name for a run. */
+    static String file(String id) {
+        return id.replaceAll("[^A-Za-z0-9.=_-]", "_");
+    }
+
     private void histogram(Run run, World.Outcome outcome) throws IOException {
         Path logs = Files.createDirectories(folder.resolve("delays"));
-        try (PrintStream to = new PrintStream(logs.resolve(run.id().replaceAll("[^A-Za-z0-9.=_-]", "_") + ".hgrm").toFile())) {
+        try (PrintStream to = new PrintStream(logs.resolve(file(run.id()) + ".hgrm").toFile())) {
             HistogramLogWriter log = new HistogramLogWriter(to);
             log.outputLogFormatVersion();
             log.outputIntervalHistogram(outcome.delays());
--- a/lab/src/main/java/yewpath/lab/world/Crowd.java
+++ b/lab/src/main/java/yewpath/lab/world/Crowd.java
@@ -52,6 +52,8 @@
     final Histogram delays = new Histogram(3_600_000_000L, 3);
     long wishes;
     long fulfilled;
+    /** With those of the warm-up, for the series. */
+    long fulfilledEver;
     long inAgreedTime;
     long failed;
     long refusals;
@@ -153,6 +155,7 @@
             return;
         }
         wish.over = true;
+        fulfilledEver++;
         if (!counts(wish)) {
             return;
         }
@@ -209,6 +212,10 @@
         }
     }
 
+    long wishesEver() {
+        return intents;
+    }
+
     int envelopes() {
         return envelopes;
     }
--- a/lab/src/main/java/yewpath/lab/world/Place.java
+++ b/lab/src/main/java/yewpath/lab/world/Place.java
@@ -13,6 +13,7 @@
     private int inSpan;
     /** Lowered by a trouble; 1 otherwise. */
     double limitFactor = 1;
+    int coming;
 
     Place(int index, Scenario s) {
         this.index = index;
--- a/lab/src/main/java/yewpath/lab/world/RelayHost.java
+++ b/lab/src/main/java/yewpath/lab/world/RelayHost.java
@@ -50,7 +50,7 @@
 
     private void begin() {
         policy = Policies.make(world.policyName, new Policies.Given(world.settings(index), world.seed ^ 31L * index + life, this,
-            world.chance("policy " + index + ' ' + life), calendar.now(), endpoint -> world.stations[endpoint].free(true)));
+            world.chance("policy " + index + ' ' + life), calendar.now(), endpoint -> world.stations[endpoint].free()));
         list(true, false);
     }
 
@@ -89,6 +89,18 @@
         now.forEach(Runnable::run);
     }
 
+    int open() {
+        return open;
+    }
+
+    int callsOut() {
+        int calls = 0;
+        for (int local = 0; local < used; local++) {
+            calls += out[local] == null ? 0 : 1;
+        }
+        return calls;
+    }
+
     // ---- Clients and list
 
     /** Whether it is taken on; where not, the client is told when to return. */
@@ -160,6 +172,7 @@
         Shot shot = new Shot(e, world.stations[endpoint], this, envelope, e.shots++, calendar.now());
         shotsOut[envelope]++;
         out[envelope] = shot;
+        shot.sets();
         acts.add(() -> {
             if (!shot.settled) {
                 leave(shot, withinMicros);
@@ -255,6 +268,7 @@
             return;
         }
         shot.settled = true;
+        shot.lands();
         if (shot.within != null) {
             shot.within.callOff();
         }
@@ -383,6 +397,7 @@
             Shot shot = out[local];
             if (shot != null && !shot.settled) {
                 shot.settled = true;
+                shot.lands();
                 if (shot.within != null) {
                     shot.within.callOff();
                 }
--- a/lab/src/main/java/yewpath/lab/world/Shot.java
+++ b/lab/src/main/java/yewpath/lab/world/Shot.java
@@ -18,6 +18,7 @@
     /** Whether its endpoint knows that it is over. */
     boolean known;
     boolean abandoned;
+    private boolean coming;
     /** Whether the relay has its outcome. */
     boolean settled;
 
@@ -30,6 +31,21 @@
         this.sentAt = sentAt;
     }
 
+    /** On its way: the room that it will take is not free, though its endpoint knows nothing of it yet. */
+    void sets() {
+        coming = true;
+        to.coming++;
+        to.place.coming++;
+    }
+
+    void lands() {
+        if (coming) {
+            coming = false;
+            to.coming--;
+            to.place.coming--;
+        }
+    }
+
     /** The endpoint's word, not yet at the relay. */
     void answered(int outcome, long pause) {
         from.answerLeaves(this, outcome, pause);
--- a/lab/src/main/java/yewpath/lab/world/Station.java
+++ b/lab/src/main/java/yewpath/lab/world/Station.java
@@ -30,6 +30,7 @@
     double errors;
     double resets;
     boolean draining;
+    int coming;
     private long coldSince = -1;
     private long fallenUntil = -1;
     private long secondAt;
@@ -68,12 +69,20 @@
         return Math.max(1, (int) Math.round(s.capacity * warmth()));
     }
 
+    int serving() {
+        return busy;
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
     /** True free room: servers, and part of the limit. */
-    double free(boolean alsoQueue) {
+    double free() {
         if (silent || refusing || vanished || draining || calendar.now() < fallenUntil) {
             return 0;
         }
-        return Math.min(servers() - busy - waiting.size() + (alsoQueue ? s.queue / 4.0 : 0), place.free(calendar.now()));
+        return Math.min(servers() - busy - waiting.size() - coming, place.free(calendar.now()) - place.coming);
     }
 
     /** Whether a connection can be made: 0 yes, 1 refused at once, 2 no word. */
@@ -83,6 +92,7 @@
 
     void arrives(Shot shot) {
         long now = calendar.now();
+        shot.lands();
         if (vanished || refusing) {
             if (refusing) {
                 shot.answered(Egress.BROKEN, 0);
--- a/lab/src/main/java/yewpath/lab/world/World.java
+++ b/lab/src/main/java/yewpath/lab/world/World.java
@@ -12,7 +12,13 @@
     /** What a run comes to. Delays are in microseconds. */
     public record Outcome(double service, double fulfilled, double inTime, double failed, long wishes, long handIns, long refusals,
                           long deferrals, long falls, int broken, long events, double decideMicros, Histogram delays,
-                          java.util.List<String> rulesBroken) { }
+                          java.util.List<String> rulesBroken, java.util.List<Moment> series) { }
+
+    /** One of some hundred moments of a run: counts since the moment before, and what is held and served just then. */
+    public record Moment(long at, long wished, long fulfilled, long refused, int held, int serving, int waiting, int oneHolds,
+                         int oneHasOut) { }
+
+    private static final int MOMENTS = 120;
 
     private static final long AFTER = 1_000_000;
     final Scenario s;
@@ -30,6 +36,7 @@
     private final Chance losses;
     private final Chance troubles;
     private boolean[] cut;
+    private final java.util.List<Moment> series = new java.util.ArrayList<>();
 
     public World(Scenario scenario, String policyName, long seed) {
         s = scenario;
@@ -71,6 +78,7 @@
     /** Plays the run. A broken rule in a strict scenario ends it by {@link Referee.Broken}. */
     public Outcome play() {
         crowd.begin();
+        look(0, 0, 0);
         for (Scenario.Trouble trouble : s.troubles) {
             calendar.at(trouble.at(), () -> begin(trouble));
         }
@@ -92,7 +100,27 @@
         double wishes = Math.max(1, crowd.wishes);
         return new Outcome(crowd.possible == 0 ? 1 : crowd.revenue / crowd.possible, crowd.fulfilled / wishes,
             crowd.inAgreedTime / wishes, crowd.failed / wishes, crowd.wishes, crowd.handIns, crowd.refusals, crowd.deferrals, falls,
-            referee.countAll(), calendar.played(), nanos / 1e3 / Math.max(1, crowd.envelopes()), crowd.delays, referee.first());
+            referee.countAll(), calendar.played(), nanos / 1e3 / Math.max(1, crowd.envelopes()), crowd.delays, referee.first(), java.util.List.copyOf(series));
+    }
+
+    private void look(long wished, long fulfilled, long refused) {
+        calendar.in(Math.max(1, s.length / MOMENTS), () -> {
+            int held = 0;
+            for (RelayHost relay : relays) {
+                held += relay.open();
+            }
+            int serving = 0;
+            int waiting = 0;
+            for (Station one : stations) {
+                serving += one.serving();
+                waiting += one.waiting();
+            }
+            series.add(new Moment(calendar.now(), crowd.wishesEver() - wished, crowd.fulfilledEver - fulfilled,
+                crowd.refusals + crowd.deferrals - refused, held, serving, waiting, relays[0].open(), relays[0].callsOut()));
+            if (calendar.now() < s.length) {
+                look(crowd.wishesEver(), crowd.fulfilledEver, crowd.refusals + crowd.deferrals);
+            }
+        });
     }
 
     // ---- Troubles
--- a/lab/src/test/java/yewpath/lab/EmulatorTest.java
+++ b/lab/src/test/java/yewpath/lab/EmulatorTest.java
@@ -21,6 +21,9 @@
 import yewpath.lab.core.Chance;
 import yewpath.lab.policy.Policies;
 import yewpath.lab.referee.Referee;
+import yewpath.lab.report.Compare;
+import yewpath.lab.report.Report;
+import yewpath.lab.run.Results;
 import yewpath.lab.run.Runs;
 import yewpath.lab.scenario.ScenarioFile;
 import yewpath.lab.world.World;
@@ -193,6 +196,40 @@
         assertEquals(Files.readAllLines(whole.resolve("table.csv")).size(), 3);
     }
 
+    @Test
+    public void comparedRunsArePairedBySeedAndSayWhenNothingIsSeen() throws Exception {
+        PrintStream nowhere = new PrintStream(new ByteArrayOutputStream());
+        Path folder = Files.createTempDirectory("lab");
+        String text = SMALL.replace("[run]", "[run]\nrepeats = 4\npolicies = [\"logic\", \"one-try\"]").replace("rate = 60", "rate = 150");
+        Files.writeString(folder.resolve("scenario.toml"), text);
+        new Runs(nowhere, folder, ScenarioFile.parse("s.toml", text)).play(2);
+        List<Results.Row> rows = Results.read(folder);
+        List<Results.Row> logic = rows.stream().filter(row -> row.policy().equals("logic")).toList();
+        List<Results.Row> oneTry = rows.stream().filter(row -> row.policy().equals("one-try")).toList();
+        ByteArrayOutputStream same = new ByteArrayOutputStream();
+        assertEquals(Compare.say(new PrintStream(same), logic, logic, List.of("service")), 0);
+        assertTrue(same.toString().contains("| 4 | no difference seen |"), same.toString());
+        ByteArrayOutputStream other = new ByteArrayOutputStream();
+        assertEquals(Compare.say(new PrintStream(other), logic, oneTry, List.of("hand_ins")), 1);
+        assertTrue(other.toString().contains("| 4 | differs |"), other.toString());
+        ByteArrayOutputStream one = new ByteArrayOutputStream();
+        Compare.say(new PrintStream(one), logic.subList(0, 1), oneTry, List.of("service"));
+        assertTrue(one.toString().contains("one pair tells nothing"), one.toString());
+        String page = Files.readString(new Report(folder).write());
+        assertTrue(page.contains("data:image/png;base64,") && page.contains("one-try") && !page.contains("http"), "page");
+    }
+
+    @Test
+    public void theOracleIsNotBeatenWhereALimitDecides() throws Faults {
+        String text = SMALL.replace("5 s", "20 s").replace("[run]", "[run]\nwarm = \"5 s\"").replace("limit = 30", "limit = 30\nrefused_count = 1")
+            .replace("rate = 60", "rate = 80");
+        double oracle = play(text, "oracle", 1).service();
+        for (String policy : Policies.names()) {
+            assertTrue(play(text, policy, 1).service() <= oracle + 0.001, policy);
+        }
+        assertTrue(oracle > 0.99, "oracle " + oracle);
+    }
+
     @Test
     public void theRefereeSeesEachRuleBroken() {
         for (Referee.Rule rule : Referee.Rule.values()) {
