The lab plays scenarios on sockets, with the emulated run beside it

Need: an emulator that nobody held against sockets can't be trusted. The stand-ins' platform tells an ear, not the accounts.

--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -10,11 +10,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import yewpath.configuration.Faults;
+import yewpath.lab.load.Live;
 import yewpath.lab.report.Compare;
 import yewpath.lab.report.Report;
 import yewpath.lab.run.Results;
 import yewpath.lab.run.Runs;
 import yewpath.lab.scenario.ScenarioFile;
+import yewpath.lab.world.World;
 
 /** The command line of the lab. Exit codes: 0 done; 1 it went wrong; 2 the words were not understood. */
 public final class Main {
@@ -62,6 +64,14 @@
         List<String> folders = new ArrayList<>();
     }
 
+    @Parameters(commandDescription = "Play a scenario on sockets in real time, and the same one emulated")
+    private static final class LoadWord {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+        @Parameter(names = "--relay", description = "The relay's jar")
+        String relay = "relay/target/yewpath.jar";
+    }
+
     @Parameters(commandDescription = "Every key of a scenario file")
     private static final class KeysWord { }
 
@@ -85,12 +95,13 @@
         Main main = new Main();
         StartsWord starts = new StartsWord();
         RunWord run = new RunWord();
+        LoadWord load = new LoadWord();
         CompareWord compare = new CompareWord();
         ReportWord report = new ReportWord();
         SizesWord sizes = new SizesWord();
         FootprintWord footprint = new FootprintWord();
         JCommander line = JCommander.newBuilder().programName("yewpath-lab").addObject(main)
-            .addCommand("run", run).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
+            .addCommand("run", run).addCommand("load", load).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -106,6 +117,9 @@
         if (line.getParsedCommand().equals("run")) {
             System.exit(run(run));
         }
+        if (line.getParsedCommand().equals("load")) {
+            System.exit(load(load));
+        }
         if (line.getParsedCommand().equals("compare") || line.getParsedCommand().equals("report")) {
             try {
                 System.exit(line.getParsedCommand().equals("report") ? report(report) : compare(compare));
@@ -166,6 +180,44 @@
         }
     }
 
+    private static int load(LoadWord words) throws InterruptedException {
+        if (words.files.size() != 1) {
+            fail("load takes one file");
+        }
+        try {
+            ScenarioFile file = ScenarioFile.read(words.files.get(0));
+            if (!file.base().sweeps.isEmpty()) {
+                fail(words.files.get(0) + " has a sweep: on sockets one point is played");
+            }
+            if (!Files.exists(Path.of(words.relay))) {
+                fail(words.relay + " is not there; name the relay's jar by --relay");
+            }
+            Live live = new Live(System.out, file.base());
+            World.Outcome sockets = live.play(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xms76m", "-Xmx76m", "-jar", words.relay));
+            System.out.println("| | service | fulfilled | in time | failed | p50 ms | p99 ms | hand-ins | rules broken |\n"
+                + "| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+            System.out.println(Live.line("sockets", sockets));
+            System.out.println(Live.line("emulated", new World(file.base(), "logic", file.base().seed).play()));
+            for (int i = 0; i < live.usage().size(); i++) {
+                Live.Usage one = live.usage().get(i);
+                System.out.println("relay " + i + ": " + one.cpuMs() + " ms of CPU, " + one.residentMb() + " MB, " + one.descriptors()
+                    + " descriptors at most");
+            }
+            sockets.rulesBroken().forEach(System.out::println);
+            return sockets.broken() == 0 ? 0 : 1;
+        } catch (Faults faults) {
+            faults.lines().forEach(System.err::println);
+            return 2;
+        } catch (IllegalArgumentException unfit) {
+            System.err.println("yewpath-lab: " + unfit.getMessage());
+            return 2;
+        } catch (IOException e) {
+            System.err.println("yewpath-lab: " + e.getMessage());
+            return 1;
+        }
+    }
+
     private static int report(ReportWord words) throws IOException, Faults {
         if (words.folders.size() != 1) {
             fail("report takes one folder");
--- a/lab/src/main/java/yewpath/lab/Starts.java
+++ b/lab/src/main/java/yewpath/lab/Starts.java
@@ -96,7 +96,7 @@
             InetSocketAddress at = freeAddress();
             Path config = folder.resolve("config.json");
             RelayConfig.write(config, at, "127.0.0.1:" + platform.address().getPort(), folder.resolve("state"),
-                List.of(new RelayConfig.Offering("status", "pure", false, 2_000, 8_000)));
+                List.of(new RelayConfig.Offering("status", "pure", false, 2_000, 8_000)), RelayConfig.Told.USUAL);
             ProcessBuilder builder = new ProcessBuilder("sh", "deploy/run.sh").directory(checkout.toFile())
                 .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
             builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
--- a/lab/src/main/java/yewpath/lab/core/Calendar.java
+++ b/lab/src/main/java/yewpath/lab/core/Calendar.java
@@ -38,6 +38,11 @@
         return played;
     }
 
+    /** The next event's time; the greatest long where there is none. */
+    public long next() {
+        return size == 0 ? Long.MAX_VALUE : times[0];
+    }
+
     public int size() {
         return size;
     }
--- /dev/null
+++ b/lab/src/main/java/yewpath/lab/load/Live.java
@@ -0,0 +1,227 @@
+package yewpath.lab.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import yewpath.lab.scenario.Scenario;
+import yewpath.lab.world.Envelope;
+import yewpath.lab.world.World;
+import yewpath.standins.io.Reactor;
+import yewpath.standins.peer.Platform;
+import yewpath.standins.process.RelayConfig;
+import yewpath.standins.process.RelayProcess;
+import yewpath.standins.referee.Ear;
+
+/** One run on sockets. All of it but the relays lives on one reactor's thread. */
+public final class Live {
+    /** What a relay took of the machine: CPU in milliseconds over the run, most memory and descriptors. */
+    public record Usage(long cpuMs, long residentMb, long descriptors) { }
+
+    private static final List<String> PLAYED = List.of("silent", "refuse", "slow", "errors", "resets", "limit", "drain", "burst",
+        "relay-kill");
+
+    final Reactor reactor;
+    World world;
+    private final Scenario s;
+    private final PrintStream say;
+    private final List<RelayProcess> processes = new ArrayList<>();
+    private final List<SocketHost> hosts = new ArrayList<>();
+    private final List<SocketStation> stations = new ArrayList<>();
+    private Platform platform;
+    private final ArrayList<Envelope> envelopes = new ArrayList<>();
+    private final ArrayList<SocketHost> holders = new ArrayList<>();
+    private long begunAt;
+    private long armedFor = Long.MAX_VALUE;
+    private final List<Usage> usage = new ArrayList<>();
+
+    /** Throws IllegalArgumentException for a trouble that sockets on one machine can't have. */
+    public Live(PrintStream say, Scenario scenario) throws IOException {
+        this.say = say;
+        s = scenario;
+        for (Scenario.Trouble trouble : s.troubles) {
+            if (!PLAYED.contains(trouble.what())) {
+                throw new IllegalArgumentException("trouble " + trouble.what() + " can't be played on sockets; these can: "
+                    + String.join(", ", PLAYED));
+            }
+        }
+        if (s.relays > 16 || s.destinations * s.endpointsEach > 2_000) {
+            throw new IllegalArgumentException("at most 16 relays and 2000 endpoints on sockets of one machine");
+        }
+        // The way is what loopback takes, and is not added once more.
+        s.delay = 1;
+        s.delaySpread = 0;
+        reactor = new Reactor(failure -> say.println("a stand-in failed: " + failure));
+    }
+
+    /** {@code command} starts a relay, without its arguments. */
+    public World.Outcome play(List<String> command) throws IOException, InterruptedException {
+        try {
+            reactor.call(() -> {
+                world = new World(s, "logic", s.seed, (w, index) -> {
+                    SocketHost host = new SocketHost(this, w, index);
+                    hosts.add(host);
+                    return host;
+                });
+                for (yewpath.lab.world.Station one : world.stations) {
+                    stations.add(new SocketStation(this, one));
+                }
+                platform = new Platform(reactor, new Ear() {
+                    @Override
+                    public void listed(String endpoint, boolean open, long at) { }
+
+                    @Override
+                    public void notice(String id, boolean handedBack, long pause, long at) {
+                        act(() -> ended(id, handedBack, pause));
+                    }
+                }, stations);
+                platform.open(0);
+                return null;
+            });
+            for (int i = 0; i < s.relays; i++) {
+                RelayProcess process = new RelayProcess(command, "127.0.0.1:" + platform.address().getPort(), 0, offerings(), told(i), List.of());
+                processes.add(process);
+                hosts.get(i).runsIn(process);
+            }
+            CountDownLatch over = new CountDownLatch(1);
+            reactor.call(() -> {
+                begunAt = reactor.now();
+                world.begin();
+                world.calendar.at(world.end(), over::countDown);
+                arm();
+                return null;
+            });
+            watch(over);
+            return reactor.call(world::close);
+        } finally {
+            for (RelayProcess process : processes) {
+                process.end();
+                process.close();
+            }
+            reactor.close();
+        }
+    }
+
+    private void watch(CountDownLatch over) throws InterruptedException, IOException {
+        long[] cpu = new long[processes.size()];
+        long[] resident = new long[processes.size()];
+        long[] descriptors = new long[processes.size()];
+        long[] first = new long[processes.size()];
+        for (int second = 0; !over.await(1, TimeUnit.SECONDS); second++) {
+            for (int i = 0; i < processes.size(); i++) {
+                try {
+                    Path proc = Path.of("/proc/" + processes.get(i).pid());
+                    String stat = Files.readString(proc.resolve("stat"));
+                    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+                    long now = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 10;
+                    first[i] = second == 0 ? now : first[i];
+                    cpu[i] = Math.max(cpu[i], now - first[i]);
+                    resident[i] = Math.max(resident[i], Long.parseLong(fields[21]) * 4096 >> 20);
+                    try (var files = Files.list(proc.resolve("fd"))) {
+                        descriptors[i] = Math.max(descriptors[i], files.count());
+                    }
+                } catch (IOException gone) {
+                    // Killed by the scenario, and not yet back.
+                    continue;
+                }
+            }
+        }
+        for (int i = 0; i < processes.size(); i++) {
+            usage.add(new Usage(cpu[i], resident[i], descriptors[i]));
+        }
+    }
+
+    /** By relay. */
+    public List<Usage> usage() {
+        return usage;
+    }
+
+    private List<RelayConfig.Offering> offerings() {
+        return s.offerings.stream().map(o -> new RelayConfig.Offering(o.name(), switch (o.kind()) {
+            case "repeatable" -> "pure";
+            case "tagged" -> "token";
+            default -> "side_effect";
+        }, o.ordered(), (int) (o.agreed() / 1000), (int) (o.expiry() / 1000))).toList();
+    }
+
+    private RelayConfig.Told told(int index) {
+        return new RelayConfig.Told(s.relays, index, s.slots, s.hold, s.tries, s.connectTimeout / 1000, s.connectionIdle / 1000, s.coldFrom,
+            s.coldFor / 1000, s.fallMultiple, s.fallFor / 1000, World.SETTLE / 1000, false, 192);
+    }
+
+    // ---- Time
+
+    /** Brings the world to the present, lets something happen in it, and sees to what is due next. */
+    void act(Runnable happens) {
+        world.calendar.playTo(reactor.now() - begunAt);
+        happens.run();
+        arm();
+    }
+
+    private void arm() {
+        long next = world.calendar.next();
+        if (next < armedFor) {
+            armedFor = next;
+            reactor.after(next - (reactor.now() - begunAt), () -> {
+                armedFor = Long.MAX_VALUE;
+                act(() -> stations.forEach(SocketStation::look));
+            });
+        }
+    }
+
+    // ---- Envelopes by id
+
+    String id(Envelope e, SocketHost host) {
+        while (envelopes.size() <= e.index) {
+            envelopes.add(null);
+            holders.add(null);
+        }
+        envelopes.set(e.index, e);
+        holders.set(e.index, host);
+        return "v" + e.index;
+    }
+
+    private static int number(String id) {
+        return id.matches("v[0-9]{1,9}") ? Integer.parseInt(id.substring(1)) : -1;
+    }
+
+    /** Null for one that nobody handed in. */
+    Envelope envelope(String id) {
+        int number = number(id);
+        return number >= 0 && number < envelopes.size() ? envelopes.get(number) : null;
+    }
+
+    SocketHost holder(String id) {
+        return holders.get(number(id));
+    }
+
+    private void ended(String id, boolean handedBack, long pause) {
+        Envelope e = envelope(id);
+        if (e == null) {
+            say.println("a notice for an envelope that nobody handed in: " + id);
+        } else if (handedBack) {
+            world.referee.deferred(world.calendar.now(), e.index);
+            world.crowd.ended(e, true, pause);
+        } else {
+            world.referee.aborted(world.calendar.now(), e.index);
+            world.crowd.ended(e, false, 0);
+        }
+    }
+
+    /** The list as it stands, to all relays. */
+    void tell() {
+        platform.tell();
+    }
+
+    /** A line of what a run came to. */
+    public static String line(String what, World.Outcome o) {
+        return String.format(Locale.ROOT, "| %s | %.4f | %.4f | %.4f | %.4f | %.1f | %.1f | %d | %d |", what, o.service(), o.fulfilled(),
+            o.inTime(), o.failed(), o.delays().getValueAtPercentile(50) / 1e3, o.delays().getValueAtPercentile(99) / 1e3, o.handIns(),
+            o.broken());
+    }
+}
--- a/lab/src/main/java/yewpath/lab/world/Crowd.java
+++ b/lab/src/main/java/yewpath/lab/world/Crowd.java
@@ -7,9 +7,9 @@
 import yewpath.lab.scenario.Scenario;
 
 /** All clients: what they wish, how they hand it in, and whether they heed what they are told. */
-final class Crowd {
+public final class Crowd {
     /** A client's wish, handed in once or several times. */
-    static final class Wish {
+    public static final class Wish {
         final int intent;
         final int offeringIndex;
         final Scenario.Offering offering;
@@ -128,28 +128,32 @@
     }
 
     private void handIn(Wish wish) {
-        RelayHost relay = world.choose(front);
+        Host relay = world.choose(front);
         Envelope e = new Envelope(envelopes++, wish);
         wish.handIns++;
         handIns++;
         referee.handedIn(calendar.now(), e.index, e.intent, World.kind(wish.offering.kind()), e.expiry, wish.offering.memory());
         calendar.in(world.trip(), () -> {
-            if (relay.up) {
+            if (relay.isUp()) {
                 relay.handIn(e);
             } else {
-                // No answer comes; the client waits for it, then tries once more.
-                calendar.in(PATIENCE, () -> again(wish, 0));
+                calendar.in(PATIENCE, () -> unanswered(e));
             }
         });
     }
 
-    void refused(Envelope e, long pause) {
+    /** No answer has come while the client waited for it: it tries once more, under another id. */
+    public void unanswered(Envelope e) {
+        again(e.wish, 0);
+    }
+
+    public void refused(Envelope e, long pause) {
         referee.deferred(calendar.now(), e.index);
         refusals++;
         calendar.in(world.trip(), () -> again(e.wish, pause));
     }
 
-    void fulfilled(Envelope e) {
+    public void fulfilled(Envelope e) {
         Wish wish = e.wish;
         if (wish.over) {
             return;
@@ -173,7 +177,7 @@
         return 1 - (1 - wish.offering.lateRevenue()) * Math.min(1, part);
     }
 
-    void ended(Envelope e, boolean handedBack, long pause) {
+    public void ended(Envelope e, boolean handedBack, long pause) {
         if (handedBack) {
             deferrals++;
             calendar.in(world.trip(), () -> again(e.wish, pause));
@@ -183,7 +187,7 @@
     }
 
     /** The platform tells clients that their relay's machine has gone with what it held. */
-    void lostWithItsRelay(Envelope e) {
+    public void lostWithItsRelay(Envelope e) {
         if (e.offering.kind().equals("once-only") && e.shots > 0) {
             fail(e.wish);
         } else {
--- a/lab/src/main/java/yewpath/lab/world/Envelope.java
+++ b/lab/src/main/java/yewpath/lab/world/Envelope.java
@@ -3,16 +3,16 @@
 import yewpath.lab.scenario.Scenario;
 
 /** One hand-in of a client's wish; the wish is the same over all its hand-ins. */
-final class Envelope {
-    final int index;
+public final class Envelope {
+    public final int index;
     final int intent;
     final int offeringIndex;
-    final Scenario.Offering offering;
-    final int destination;
-    final int key;
+    public final Scenario.Offering offering;
+    public final int destination;
+    public final int key;
     final long bornAt;
-    final long expiry;
-    final Crowd.Wish wish;
+    public final long expiry;
+    public final Crowd.Wish wish;
     int shots;
     long doubtSince = -1;
 
--- a/lab/src/main/java/yewpath/lab/world/RelayHost.java
+++ b/lab/src/main/java/yewpath/lab/world/RelayHost.java
@@ -12,14 +12,14 @@
 import yewpath.lab.scenario.Scenario;
 
 /** One relay: a policy with what a relay does around it; rounds, connections, time-outs, a ledger. */
-final class RelayHost implements Egress {
+final class RelayHost implements Egress, Host, Answerer {
     private final World world;
     private final Scenario s;
     private final Calendar calendar;
     private final Referee referee;
-    final int index;
+    private final int index;
     private Policy policy;
-    boolean up = true;
+    private boolean up = true;
     /** Each life's late answers and timers are not the next one's. */
     private int life;
     private boolean turnAsked;
@@ -34,8 +34,7 @@
     /** Connections idle to each endpoint: how many, and since when the youngest. */
     private int[] idle;
     private long[] idleSince;
-    long decideNanos;
-    long decided;
+    private long decideNanos;
 
     RelayHost(World world, int index) {
         this.world = world;
@@ -82,18 +81,34 @@
         policy.at(calendar.now());
         policy.turn();
         decideNanos += System.nanoTime() - begun;
-        decided++;
         // What an act asks in turn waits for the next round.
         List<Runnable> now = List.copyOf(acts);
         acts.clear();
         now.forEach(Runnable::run);
     }
 
-    int open() {
+    @Override
+    public boolean isUp() {
+        return up;
+    }
+
+    @Override
+    public int index() {
+        return index;
+    }
+
+    @Override
+    public long decideNanos() {
+        return decideNanos;
+    }
+
+    @Override
+    public int open() {
         return open;
     }
 
-    int callsOut() {
+    @Override
+    public int callsOut() {
         int calls = 0;
         for (int local = 0; local < used; local++) {
             calls += out[local] == null ? 0 : 1;
@@ -104,7 +119,8 @@
     // ---- Clients and list
 
     /** Whether it is taken on; where not, the client is told when to return. */
-    void handIn(Envelope e) {
+    @Override
+    public void handIn(Envelope e) {
         if (open >= s.hold) {
             world.crowd.refused(e, 1_000_000);
             return;
@@ -143,7 +159,8 @@
         });
     }
 
-    void listed(Station one) {
+    @Override
+    public void listed(Station one) {
         if (!up) {
             return;
         }
@@ -233,7 +250,8 @@
     }
 
     /** Called at the endpoint's side. */
-    void answerLeaves(Shot shot, int outcome, long pause) {
+    @Override
+    public void answerLeaves(Shot shot, int outcome, long pause) {
         if (world.parted(index, shot.to) || world.lost()) {
             return;
         }
@@ -387,7 +405,8 @@
     private List<Envelope> ledger = List.of();
 
     /** SIGKILL, or the machine with its ledger. */
-    void dies(boolean withLedger) {
+    @Override
+    public void dies(boolean withLedger) {
         List<Envelope> left = new ArrayList<>();
         up = false;
         life++;
@@ -426,7 +445,8 @@
         turnAsked = false;
     }
 
-    void returns() {
+    @Override
+    public void returns() {
         up = true;
         begin();
         for (Envelope e : ledger) {
--- a/lab/src/main/java/yewpath/lab/world/Shot.java
+++ b/lab/src/main/java/yewpath/lab/world/Shot.java
@@ -3,10 +3,10 @@
 import yewpath.lab.core.Calendar;
 
 /** One call on its way, at its endpoint, or on its way back. */
-final class Shot {
-    final Envelope envelope;
-    final Station to;
-    final RelayHost from;
+public final class Shot {
+    public final Envelope envelope;
+    public final Station to;
+    final Answerer from;
     final int local;
     final int number;
     final long sentAt;
@@ -22,7 +22,7 @@
     /** Whether the relay has its outcome. */
     boolean settled;
 
-    Shot(Envelope envelope, Station to, RelayHost from, int local, int number, long sentAt) {
+    public Shot(Envelope envelope, Station to, Answerer from, int local, int number, long sentAt) {
         this.envelope = envelope;
         this.to = to;
         this.from = from;
--- a/lab/src/main/java/yewpath/lab/world/Station.java
+++ b/lab/src/main/java/yewpath/lab/world/Station.java
@@ -10,8 +10,8 @@
 import yewpath.lab.scenario.Scenario;
 
 /** One endpoint. */
-final class Station {
-    final int index;
+public final class Station {
+    public final int index;
     final Place place;
     private final Scenario s;
     private final Calendar calendar;
@@ -77,6 +77,14 @@
         return waiting.size();
     }
 
+    public boolean isDraining() {
+        return draining;
+    }
+
+    public int destination() {
+        return place.index;
+    }
+
     /** True free room: servers, and part of the limit. */
     double free() {
         if (silent || refusing || vanished || draining || calendar.now() < fallenUntil) {
@@ -86,11 +94,11 @@
     }
 
     /** Whether a connection can be made: 0 yes, 1 refused at once, 2 no word. */
-    int connects() {
+    public int connects() {
         return vanished ? 2 : refusing ? 1 : 0;
     }
 
-    void arrives(Shot shot) {
+    public void arrives(Shot shot) {
         long now = calendar.now();
         shot.lands();
         if (vanished || refusing) {
@@ -139,8 +147,8 @@
     }
 
     /** A wait binds the relay that was told, for all of the destination: relays share nothing. */
-    long route(Shot shot) {
-        return (long) shot.from.index << 32 | place.index;
+    public long route(Shot shot) {
+        return (long) shot.from.index() << 32 | place.index;
     }
 
     private void refuse(Shot shot, long pause) {
@@ -201,7 +209,7 @@
     }
 
     /** The relay has closed its connection. What is being served goes on and runs; what waits does not. */
-    void abandoned(Shot shot) {
+    public void abandoned(Shot shot) {
         shot.abandoned = true;
         waiting.remove(shot);
         over(shot);
--- a/lab/src/main/java/yewpath/lab/world/World.java
+++ b/lab/src/main/java/yewpath/lab/world/World.java
@@ -20,16 +20,18 @@
 
     private static final int MOMENTS = 120;
 
+    /** How long an ordered key rests after a shot that may still run, as relays are told. */
+    public static final long SETTLE = 500_000;
     private static final long AFTER = 1_000_000;
-    final Scenario s;
+    public final Scenario s;
     final String policyName;
     final long seed;
-    final Calendar calendar = new Calendar();
-    final Referee referee;
-    final Station[] stations;
-    final Crowd crowd;
+    public final Calendar calendar = new Calendar();
+    public final Referee referee;
+    public final Station[] stations;
+    public final Crowd crowd;
     private final Place[] places;
-    private final RelayHost[] relays;
+    private final Host[] relays;
     /** Which relays the front takes to be up. */
     private final boolean[] fronted;
     private final Chance network;
@@ -38,7 +40,16 @@
     private boolean[] cut;
     private final java.util.List<Moment> series = new java.util.ArrayList<>();
 
+    /** Makes a relay of a world: emulated, or another kind. */
+    public interface Maker {
+        Host make(World world, int index);
+    }
+
     public World(Scenario scenario, String policyName, long seed) {
+        this(scenario, policyName, seed, RelayHost::new);
+    }
+
+    public World(Scenario scenario, String policyName, long seed, Maker maker) {
         s = scenario;
         this.policyName = policyName;
         this.seed = seed;
@@ -59,10 +70,10 @@
         }
         cut = new boolean[stations.length];
         crowd = new Crowd(this);
-        relays = new RelayHost[s.relays];
+        relays = new Host[s.relays];
         fronted = new boolean[s.relays];
         for (int i = 0; i < relays.length; i++) {
-            relays[i] = new RelayHost(this, i);
+            relays[i] = maker.make(this, i);
             fronted[i] = true;
         }
     }
@@ -77,25 +88,39 @@
 
     /** Plays the run. A broken rule in a strict scenario ends it by {@link Referee.Broken}. */
     public Outcome play() {
+        begin();
+        calendar.playTo(end());
+        return close();
+    }
+
+    /** Enters all that the scenario has; the calendar does the rest. */
+    public void begin() {
         crowd.begin();
         look(0, 0, 0);
         for (Scenario.Trouble trouble : s.troubles) {
             calendar.at(trouble.at(), () -> begin(trouble));
         }
+    }
+
+    /** When all that was handed in has come to its end. */
+    public long end() {
         long longest = 0;
         for (Scenario.Offering offering : s.offerings) {
             longest = Math.max(longest, offering.expiry());
         }
-        long end = s.length + longest + AFTER;
-        calendar.playTo(end);
-        referee.close(end, crowd.envelopes());
+        return s.length + longest + AFTER;
+    }
+
+    /** Closes the books and tells what the run came to. */
+    public Outcome close() {
+        referee.close(calendar.now(), crowd.envelopes());
         long falls = 0;
         for (Station one : stations) {
             falls += one.falls;
         }
         long nanos = 0;
-        for (RelayHost relay : relays) {
-            nanos += relay.decideNanos;
+        for (Host relay : relays) {
+            nanos += relay.decideNanos();
         }
         double wishes = Math.max(1, crowd.wishes);
         return new Outcome(crowd.possible == 0 ? 1 : crowd.revenue / crowd.possible, crowd.fulfilled / wishes,
@@ -106,7 +131,7 @@
     private void look(long wished, long fulfilled, long refused) {
         calendar.in(Math.max(1, s.length / MOMENTS), () -> {
             int held = 0;
-            for (RelayHost relay : relays) {
+            for (Host relay : relays) {
                 held += relay.open();
             }
             int serving = 0;
@@ -179,7 +204,7 @@
             case "drain" -> {
                 one.draining = on;
                 calendar.in(s.directoryDelay, () -> {
-                    for (RelayHost relay : relays) {
+                    for (Host relay : relays) {
                         relay.listed(one);
                     }
                 });
@@ -189,13 +214,13 @@
     }
 
     private void kill(int which, Scenario.Trouble trouble) {
-        RelayHost relay = relays[which];
-        if (!relay.up) {
+        Host relay = relays[which];
+        if (!relay.isUp()) {
             return;
         }
         relay.dies(trouble.what().equals("relay-kill"));
         // The front notices after some seconds.
-        calendar.in(Math.min(trouble.length(), 2_000_000), () -> fronted[which] = relay.up);
+        calendar.in(Math.min(trouble.length(), 2_000_000), () -> fronted[which] = relay.isUp());
         calendar.in(trouble.length(), () -> {
             relay.returns();
             fronted[which] = true;
@@ -204,7 +229,7 @@
 
     // ---- What relays and clients ask of the world
 
-    RelayHost choose(Chance chance) {
+    Host choose(Chance chance) {
         int first = chance.below(relays.length);
         for (int i = 0; i < relays.length; i++) {
             int at = (first + i) % relays.length;
@@ -227,7 +252,8 @@
         return cut[from.index] && relay % 2 == 0;
     }
 
-    double listedRate() {
+    /** What discovery tells of an endpoint's rate. */
+    public double listedRate() {
         return s.limit > 0 ? s.limit : s.endpointsEach * s.capacity * 1e6 / s.service;
     }
 
@@ -246,7 +272,7 @@
         t.coldFor = s.coldFor;
         t.fallMultiple = s.fallMultiple;
         t.fallFor = s.fallFor;
-        t.settleAfterDoubt = 500_000;
+        t.settleAfterDoubt = SETTLE;
         t.connectTimeout = s.connectTimeout;
         t.connectionIdle = s.connectionIdle;
         t.routesApart = new boolean[1];
--- a/relay/src/test/java/yewpath/FaultsTest.java
+++ b/relay/src/test/java/yewpath/FaultsTest.java
@@ -93,7 +93,8 @@
             return null;
         });
         List<String> command = new ArrayList<>(Stand.yewpath().command());
-        try (RelayProcess relay = new RelayProcess(command, "127.0.0.1:" + platform.address().getPort(), 0, OFFERINGS, List.of())) {
+        try (RelayProcess relay = new RelayProcess(command, "127.0.0.1:" + platform.address().getPort(), 0, OFFERINGS,
+            RelayConfig.Told.USUAL, List.of())) {
             Client client = new Client(reactor, accounts, relay.address);
             reactor.run(() -> {
                 endpoints.forEach(Endpoint::begin);
--- a/standins/src/main/java/yewpath/standins/demo/Demo.java
+++ b/standins/src/main/java/yewpath/standins/demo/Demo.java
@@ -69,7 +69,7 @@
         String at = "127.0.0.1:" + platform.address().getPort();
         say.println("starting a relay among " + endpoints.size() + " endpoints of 4 destinations, discovery at " + at);
         int code;
-        try (RelayProcess relay = new RelayProcess(command, at, port, OFFERINGS, List.of())) {
+        try (RelayProcess relay = new RelayProcess(command, at, port, OFFERINGS, RelayConfig.Told.USUAL, List.of())) {
             client = new Client(reactor, accounts, relay.address);
             if (stay) {
                 return stay(relay);
--- a/standins/src/main/java/yewpath/standins/peer/Endpoint.java
+++ b/standins/src/main/java/yewpath/standins/peer/Endpoint.java
@@ -24,16 +24,15 @@
 import yewpath.standins.script.Step;
 
 /** One endpoint: answers calls as its script says, one by one or in bundles, and tells the accounts what it saw. */
-public final class Endpoint {
+public final class Endpoint implements Listed {
     private static final JsonFactory JSON = new JsonFactory();
     /** Small, so that a large call has not arrived whole while it is not read. */
     private static final int RECEIVE = 4 << 10;
 
     public final String name;
-    public final int destination;
-    /** As the list tells it. */
-    public final String kind;
-    public final double weight;
+    private final int destination;
+    private final String kind;
+    private final double weight;
     private final Reactor reactor;
     private final Accounts accounts;
     private final Script script;
@@ -74,16 +73,34 @@
         }
     }
 
+    @Override
+    public int destination() {
+        return destination;
+    }
+
+    @Override
+    public String kind() {
+        return kind;
+    }
+
+    @Override
+    public double weight() {
+        return weight;
+    }
+
     /** Under which id the list has it now: another after it was replaced. */
+    @Override
     public String id() {
         return generation == 0 ? name : name + "-" + generation;
     }
 
+    @Override
     public InetSocketAddress address() {
         return address;
     }
 
     /** As the list has it: up, draining or removed. */
+    @Override
     public String state() {
         long at = reactor.now() - startedAt;
         return script.is(Step.Act.GONE, at) ? "removed" : script.is(Step.Act.DRAIN, at) ? "draining" : "up";
--- /dev/null
+++ b/standins/src/main/java/yewpath/standins/peer/Listed.java
@@ -0,0 +1,19 @@
+package yewpath.standins.peer;
+
+import java.net.InetSocketAddress;
+
+/** What the list says of an endpoint. */
+public interface Listed {
+    String id();
+
+    int destination();
+
+    String kind();
+
+    double weight();
+
+    InetSocketAddress address();
+
+    /** up, draining or removed. */
+    String state();
+}
--- a/standins/src/main/java/yewpath/standins/peer/Platform.java
+++ b/standins/src/main/java/yewpath/standins/peer/Platform.java
@@ -18,7 +18,7 @@
 import yewpath.standins.io.Message;
 import yewpath.standins.io.Reactor;
 import yewpath.standins.io.Wire;
-import yewpath.standins.referee.Accounts;
+import yewpath.standins.referee.Ear;
 
 /** The platform's agent: the list with its watches, and notices of outcomes. */
 public final class Platform {
@@ -26,8 +26,8 @@
     private static final long BEAT = 2_000_000;
 
     private final Reactor reactor;
-    private final Accounts accounts;
-    private final List<Endpoint> endpoints;
+    private final Ear ear;
+    private final List<? extends Listed> endpoints;
     private final Set<Wire> watches = new LinkedHashSet<>();
     private Reactor.Port port;
     private int version = 1;
@@ -36,9 +36,9 @@
     private long notices;
 
     /** {@code endpoints} may grow and change; {@link #tell} says so to all watches. */
-    public Platform(Reactor reactor, Accounts accounts, List<Endpoint> endpoints) {
+    public Platform(Reactor reactor, Ear ear, List<? extends Listed> endpoints) {
         this.reactor = reactor;
-        this.accounts = accounts;
+        this.ear = ear;
         this.endpoints = endpoints;
     }
 
@@ -75,7 +75,7 @@
         byte[] line = chunk(list() + "\n");
         watches.forEach(watch -> watch.write(line));
         long now = reactor.now();
-        endpoints.forEach(one -> accounts.listed(one.id(), one.state().equals("up"), now));
+        endpoints.forEach(one -> ear.listed(one.id(), one.state().equals("up"), now));
     }
 
     /** The whole list, in discovery's form. */
@@ -86,7 +86,7 @@
             out.writeNumberField("version", version);
             out.writeBooleanField("full", true);
             out.writeArrayFieldStart("servers");
-            for (Endpoint one : endpoints) {
+            for (Listed one : endpoints) {
                 if (one.state().equals("removed")) {
                     continue;
                 }
@@ -94,10 +94,10 @@
                 out.writeStringField("id", one.id());
                 out.writeStringField("addr", "127.0.0.1:" + one.address().getPort());
                 out.writeStringField("zone", "here");
-                out.writeStringField("kind", one.kind);
-                out.writeNumberField("cell", one.destination);
+                out.writeStringField("kind", one.kind());
+                out.writeNumberField("cell", one.destination());
                 out.writeStringField("state", one.state());
-                out.writeNumberField("weight", one.weight);
+                out.writeNumberField("weight", one.weight());
                 out.writeNumberField("started_ms", 0);
                 out.writeEndObject();
             }
@@ -161,16 +161,18 @@
         private void notice(String line) {
             String id = null;
             String outcome = null;
+            long pause = 0;
             try (JsonParser at = JSON.createParser(line)) {
                 while (at.nextToken() != null) {
                     id = "message".equals(at.currentName()) ? at.getText() : id;
                     outcome = "outcome".equals(at.currentName()) ? at.getText() : outcome;
+                    pause = at.currentToken().isNumeric() ? at.getLongValue() * 1_000 : pause;
                 }
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
             notices++;
-            accounts.notice(id, "handed_back".equals(outcome), reactor.now());
+            ear.notice(id, "handed_back".equals(outcome), pause, reactor.now());
         }
 
         @Override
--- a/standins/src/main/java/yewpath/standins/process/RelayConfig.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayConfig.java
@@ -14,11 +14,18 @@
     /** What the relay is told of an offering: {@code repeat} is pure, token or side_effect. */
     public record Offering(String name, String repeat, boolean ordered, int agreedMs, int expiryMs) { }
 
+    /** What else is told: this relay's number of so many, and figures by the names that the settings have. */
+    public record Told(int relays, int ordinal, int slots, int hold, int tries, long connectTimeoutMs, long connectionIdleMs, double coldFrom,
+                       long coldMs, double fallMultiple, long fallMs, long settleMs, boolean halving, int memoryMb) {
+        /** One relay of middling size. */
+        public static final Told USUAL = new Told(1, 0, 32, 400, 8, 1_000, 10_000, 0.2, 3_000, 2, 1_000, 400, true, 192);
+    }
+
     private RelayConfig() { }
 
     /** {@code platform} is the address of discovery and notices, {@code state} the folder that lasts. */
-    public static void write(Path file, InetSocketAddress address, String platform, Path state, List<Offering> offerings)
-            throws IOException {
+    public static void write(Path file, InetSocketAddress address, String platform, Path state, List<Offering> offerings,
+                             Told told) throws IOException {
         try (OutputStream to = Files.newOutputStream(file);
              JsonGenerator out = new JsonFactory().createGenerator(to).useDefaultPrettyPrinter()) {
             out.writeStartObject();
@@ -29,40 +36,40 @@
             out.writeStringField("seed", "1f");
             out.writeObjectFieldStart("limits");
             out.writeNumberField("cores", 1);
-            out.writeNumberField("memory_mb", 192);
+            out.writeNumberField("memory_mb", told.memoryMb);
             out.writeNumberField("sockets", 1024);
             out.writeNumberField("disk_mb", 8);
             out.writeEndObject();
             out.writeObjectFieldStart("settings");
-            out.writeNumberField("balancers", 1);
-            out.writeNumberField("ordinal", 0);
+            out.writeNumberField("balancers", told.relays);
+            out.writeNumberField("ordinal", told.ordinal);
             out.writeStringField("discovery", "pushed");
             out.writeStringField("weights", "nominal");
             strings(out, "zones", "here");
             strings(out, "kinds", "plain", "bundled");
             out.writeObjectFieldStart("family_info");
-            out.writeNumberField("max_calls", 32);
+            out.writeNumberField("max_calls", told.slots);
             out.writeArrayFieldStart("bundle_max");
             out.writeNumber(1);
             out.writeNumber(20);
             out.writeEndArray();
-            out.writeStringField("late", "by_half");
+            out.writeStringField("late", told.halving ? "by_half" : "evenly");
             out.writeEndObject();
             out.writeObjectFieldStart("limits");
-            out.writeNumberField("max_open", 400);
-            out.writeNumberField("try_limit", 8);
+            out.writeNumberField("max_open", told.hold);
+            out.writeNumberField("try_limit", told.tries);
             out.writeBooleanField("cancel", true);
             out.writeBooleanField("retry_after", true);
             out.writeNumberField("max_retry_after_ms", 3000);
-            out.writeNumberField("connect_timeout_ms", 1000);
-            out.writeNumberField("conn_idle_ms", 10000);
+            out.writeNumberField("connect_timeout_ms", told.connectTimeoutMs);
+            out.writeNumberField("conn_idle_ms", told.connectionIdleMs);
             out.writeEndObject();
             out.writeObjectFieldStart("rules");
-            out.writeNumberField("cold_from", 0.2);
-            out.writeNumberField("cold_ms", 3000);
-            out.writeNumberField("fall_multiple", 2);
-            out.writeNumberField("fall_ms", 1000);
-            out.writeNumberField("settle_after_doubt_ms", 400);
+            out.writeNumberField("cold_from", told.coldFrom);
+            out.writeNumberField("cold_ms", told.coldMs);
+            out.writeNumberField("fall_multiple", told.fallMultiple);
+            out.writeNumberField("fall_ms", told.fallMs);
+            out.writeNumberField("settle_after_doubt_ms", told.settleMs);
             out.writeEndObject();
             out.writeArrayFieldStart("request_classes");
             for (Offering one : offerings) {
--- a/standins/src/main/java/yewpath/standins/process/RelayProcess.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayProcess.java
@@ -24,7 +24,8 @@
     private Process process;
 
     /** {@code port} 0 takes any free one. Returns once the relay is ready. */
-    public RelayProcess(List<String> command, String platform, int port, List<RelayConfig.Offering> offerings, List<String> more)
+    public RelayProcess(List<String> command, String platform, int port, List<RelayConfig.Offering> offerings, RelayConfig.Told told,
+                        List<String> more)
             throws IOException, InterruptedException {
         folder = Files.createTempDirectory("yewpath-demo");
         int taken = port;
@@ -35,7 +36,7 @@
         }
         address = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), taken);
         Path config = folder.resolve("config.json");
-        RelayConfig.write(config, address, platform, folder.resolve("state"), offerings);
+        RelayConfig.write(config, address, platform, folder.resolve("state"), offerings, told);
         List<String> all = new ArrayList<>(command);
         all.addAll(List.of("serve", "--config", config.toString()));
         all.addAll(more);
@@ -83,6 +84,10 @@
         }
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     public File log() {
         return folder.resolve("log").toFile();
     }
--- a/standins/src/main/java/yewpath/standins/referee/Accounts.java
+++ b/standins/src/main/java/yewpath/standins/referee/Accounts.java
@@ -11,7 +11,7 @@
  * The accounts of a run: each envelope's life as clients, endpoints and platform saw it, and each broken rule as a
  * sentence with the envelope's history. Times are microseconds on one clock. Pure, for one thread.
  */
-public final class Accounts {
+public final class Accounts implements Ear {
     /** How an offering may be repeated. */
     public enum Kind { REPEATABLE, TAGGED, ONCE_ONLY }
 
@@ -162,6 +162,7 @@
     }
 
     /** The list has told that nothing new is to go there; {@code open} takes it back. */
+    @Override
     public void listed(String endpoint, boolean open, long at) {
         if (open) {
             closed.remove(endpoint);
@@ -171,7 +172,8 @@
     }
 
     /** The platform has heard of an end. */
-    public void notice(String id, boolean handedBack, long at) {
+    @Override
+    public void notice(String id, boolean handedBack, long pause, long at) {
         Account one = accounts.get(id);
         if (one == null) {
             broken.add("a notice for an envelope that nobody handed in: " + id);
--- a/standins/src/test/java/yewpath/standins/AccountsTest.java
+++ b/standins/src/test/java/yewpath/standins/AccountsTest.java
@@ -45,7 +45,7 @@
     @Test
     public void whatHasNoEndInItsTimeIsLost() {
         call("r", 10 * MS, true);
-        accounts.notice("t", true, 1_900 * MS);
+        accounts.notice("t", true, 0, 1_900 * MS);
         assertEquals(accounts.open(), 1);
         accounts.close(2_340 * MS);
         broken();
@@ -122,15 +122,15 @@
 
     @Test
     public void aOnceOnlyEnvelopeThatRanIsNotHandedBack() {
-        accounts.notice("o", true, 10 * MS);
+        accounts.notice("o", true, 0, 10 * MS);
         broken();
         call("t", 10 * MS, false);
-        accounts.notice("t", true, 20 * MS);
+        accounts.notice("t", true, 0, 20 * MS);
         broken();
         accounts.handedIn("p", "order", Kind.ONCE_ONLY, 0, 2_000 * MS);
         call("p", 10 * MS, false);
-        accounts.notice("p", true, 20 * MS);
-        accounts.notice("nobody", false, 20 * MS);
+        accounts.notice("p", true, 0, 20 * MS);
+        accounts.notice("nobody", false, 0, 20 * MS);
         accounts.arrived("none", "e", "d", 0, 0);
         broken("handed back although it ran", "nobody handed in: nobody", "nobody handed in: none");
     }
