--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -15,6 +15,7 @@
 import yewpath.lab.report.Report;
 import yewpath.lab.run.Results;
 import yewpath.lab.run.Runs;
+import yewpath.lab.run.Search;
 import yewpath.lab.scenario.ScenarioFile;
 import yewpath.lab.world.World;
 
@@ -72,6 +73,20 @@
         String relay = "relay/target/yewpath.jar";
     }
 
+    @Parameters(commandDescription = "Look for the worst day within the ranges that a scenario's sweeps span")
+    private static final class SearchWord {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+        @Parameter(names = "--days", description = "Days at random, 4 to 100000; as many are played near the worst")
+        int days = 200;
+        @Parameter(names = "--seed", description = "Of what is drawn")
+        long seed = 1;
+        @Parameter(names = "--to", description = "Where the day found is written as a scenario")
+        String to = "found/worst.toml";
+        @Parameter(names = "--threads", description = "Runs at once; all cores where absent")
+        int threads = Runtime.getRuntime().availableProcessors();
+    }
+
     @Parameters(commandDescription = "Every key of a scenario file")
     private static final class KeysWord { }
 
@@ -96,12 +111,13 @@
         StartsWord starts = new StartsWord();
         RunWord run = new RunWord();
         LoadWord load = new LoadWord();
+        SearchWord search = new SearchWord();
         CompareWord compare = new CompareWord();
         ReportWord report = new ReportWord();
         SizesWord sizes = new SizesWord();
         FootprintWord footprint = new FootprintWord();
         JCommander line = JCommander.newBuilder().programName("yewpath-lab").addObject(main)
-            .addCommand("run", run).addCommand("load", load).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
+            .addCommand("run", run).addCommand("load", load).addCommand("search", search).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -117,6 +133,9 @@
         if (line.getParsedCommand().equals("run")) {
             System.exit(run(run));
         }
+        if (line.getParsedCommand().equals("search")) {
+            System.exit(search(search));
+        }
         if (line.getParsedCommand().equals("load")) {
             System.exit(load(load));
         }
@@ -180,6 +199,30 @@
         }
     }
 
+    private static int search(SearchWord words) throws InterruptedException {
+        if (words.files.size() != 1 || words.days < 4 || words.days > 100_000 || words.threads < 1) {
+            fail("search takes one file, and --days from 4 to 100000");
+        }
+        try {
+            ScenarioFile file = ScenarioFile.read(words.files.get(0));
+            if (file.ranges().isEmpty()) {
+                fail(words.files.get(0) + " has no sweep: its least and most figures are the ranges to look in");
+            }
+            Search search = new Search(file, Search.againstRivals(file), words.seed, words.threads, System.out);
+            Path to = Path.of(words.to).toAbsolutePath();
+            Files.createDirectories(to.getParent());
+            Files.writeString(to, search.text(search.find(words.days)));
+            System.out.println("the day is in " + words.to);
+            return 0;
+        } catch (Faults faults) {
+            faults.lines().forEach(System.err::println);
+            return 2;
+        } catch (IOException e) {
+            System.err.println("yewpath-lab: " + e.getMessage());
+            return 1;
+        }
+    }
+
     private static int load(LoadWord words) throws InterruptedException {
         if (words.files.size() != 1) {
             fail("load takes one file");
--- a/lab/src/main/java/yewpath/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/yewpath/lab/scenario/ScenarioFile.java
@@ -187,6 +187,55 @@
         return points;
     }
 
+    /** The least and most of each swept number, within which a search may draw. */
+    public Map<String, double[]> ranges() {
+        Map<String, double[]> ranges = new LinkedHashMap<>();
+        values.free().forEach((path, figures) -> ranges.put(path, new double[] {
+            figures.stream().mapToDouble(x -> x).min().orElseThrow(), figures.stream().mapToDouble(x -> x).max().orElseThrow()}));
+        return ranges;
+    }
+
+    /** Whether a number of this name is a whole one. */
+    public static boolean isWhole(String path) {
+        return KEYS.stream().anyMatch(key -> key.path.equals(path) && key.type != Type.PART);
+    }
+
+    /** The file that says this scenario at a point and with these troubles, without its sweeps. */
+    public String text(Map<String, Double> point, List<Scenario.Trouble> troubles) {
+        StringBuilder out = new StringBuilder();
+        String table = "";
+        for (Key key : KEYS) {
+            if (!key.table().equals(table)) {
+                table = key.table();
+                out.append(out.isEmpty() ? "" : "\n").append('[').append(table).append("]\n");
+            }
+            Double figure = point.get(key.path);
+            Object value = figure == null ? values.value(key) : key.type == Type.PART ? (Object) figure : (Object) Math.round(figure);
+            out.append(key.path.substring(key.path.indexOf('.') + 1)).append(" = ").append(written(key, value)).append('\n');
+        }
+        for (Values offering : values.list("offering")) {
+            entry(out, "offering", LISTS.get("offering"), offering::value);
+        }
+        for (Scenario.Trouble t : troubles) {
+            Map<Key, Object> told = Map.of(T_WHAT, t.what(), T_AT, t.at(), T_FOR, t.length(), T_PART, t.part(), T_AMOUNT, t.amount());
+            entry(out, "trouble", LISTS.get("trouble"), told::get);
+        }
+        return out.toString();
+    }
+
+    private static void entry(StringBuilder out, String name, List<Key> keys, java.util.function.Function<Key, Object> value) {
+        out.append("\n[[").append(name).append("]]\n");
+        keys.forEach(key -> out.append(key.path).append(" = ").append(written(key, value.apply(key))).append('\n'));
+    }
+
+    private static String written(Key key, Object value) {
+        if (key.type == Type.TEXTS) {
+            return ((List<?>) value).stream().map(one -> '"' + one.toString() + '"').toList().toString();
+        }
+        // In its smallest unit, so that nothing is rounded: the day must be the same day.
+        return key.type == Type.SPAN ? "\"" + value + " us\"" : key.type.show(value);
+    }
+
     private static void together(Values all, TomlFile.Fault fault) {
         all.free().forEach((path, figures) -> {
             Key key = KEYS.stream().filter(k -> k.path.equals(path)).findFirst().orElse(null);
--- a/lab/src/test/java/yewpath/lab/EmulatorTest.java
+++ b/lab/src/test/java/yewpath/lab/EmulatorTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import yewpath.configuration.Faults;
@@ -25,6 +26,8 @@
 import yewpath.lab.report.Report;
 import yewpath.lab.run.Results;
 import yewpath.lab.run.Runs;
+import yewpath.lab.run.Search;
+import yewpath.lab.scenario.Scenario;
 import yewpath.lab.scenario.ScenarioFile;
 import yewpath.lab.world.World;
 
@@ -219,6 +222,26 @@
         assertTrue(page.contains("data:image/png;base64,") && page.contains("one-try") && !page.contains("http"), "page");
     }
 
+    @Test
+    public void aSearchFindsWhatMattersCutsTheRestAndWritesADayThatReadsBack() throws Exception {
+        ScenarioFile file = ScenarioFile.parse("s.toml", SMALL + "[sweep]\n\"load.rate\" = [10, 200]\n\"world.relays\" = [1, 9]\n");
+        // Planted: it takes a silence and more than six relays, whatever else there is.
+        Search.Judge planted = day -> (day.point().getOrDefault("world.relays", 2.0) > 6 ? 1 : 0)
+            + (day.troubles().stream().anyMatch(t -> t.what().equals("silent")) ? 1 : 0);
+        Search search = new Search(file, planted, 5, 2, new PrintStream(new ByteArrayOutputStream()));
+        Search.Day found = search.find(40);
+        assertEquals(found.point().keySet(), Set.of("world.relays"));
+        assertEquals(found.troubles().stream().map(t -> t.what()).toList(), List.of("silent"));
+        Scenario again = ScenarioFile.parse("found.toml", search.text(found)).base();
+        assertEquals(again.relays, found.point().get("world.relays").intValue());
+        assertEquals(again.troubles, found.troubles());
+        assertEquals(again.offerings, file.base().offerings);
+        assertEquals(again.rate, 60.0);
+        // The real judge: a day of the same scenario is played by Logic and its rivals.
+        double loss = Search.againstRivals(file).loss(found);
+        assertTrue(loss > -1 && loss < 1, "loss " + loss);
+    }
+
     @Test
     public void theOracleIsNotBeatenWhereALimitDecides() throws Faults {
         String text = SMALL.replace("5 s", "20 s").replace("[run]", "[run]\nwarm = \"5 s\"").replace("limit = 30", "limit = 30\nrefused_count = 1")
