--- a/lab/src/main/java/yewpath/lab/referee/Referee.java
+++ b/lab/src/main/java/yewpath/lab/referee/Referee.java
@@ -213,8 +213,9 @@
         }
     }
 
-    /** All keys that a relay which died had out. */
+    /** A relay has died: what it had out is back, and a restart ends the waits it was told, as the operators have it. */
     public void died(int relay) {
+        waits.keySet().removeIf(route -> route >> 32 == relay);
         holdsKey.keySet().removeIf(pair -> pair >> 32 == relay);
         closedSince.keySet().removeIf(pair -> pair >> 32 == relay);
     }
--- a/lab/src/test/java/yewpath/lab/EmulatorTest.java
+++ b/lab/src/test/java/yewpath/lab/EmulatorTest.java
@@ -267,6 +267,18 @@
         }
     }
 
+    @Test
+    public void aRestartEndsTheWaitsThatWereToldBeforeAndNoOthers() {
+        Referee referee = new Referee(true, 250_000, 100_000, 300_000);
+        referee.handedIn(0, 0, 0, Referee.Kind.REPEATABLE, 9_000_000, 0);
+        referee.waitTold(0, 1L << 32 | 7, 5_000_000);
+        referee.waitTold(0, 2L << 32 | 7, 5_000_000);
+        referee.died(1);
+        referee.arrived(1_000_000, 0, 3, 1L << 32 | 7);
+        referee.callOver(1_000_000, 0, 3);
+        assertEquals(expectThrows(Referee.Broken.class, () -> referee.arrived(1_000_000, 0, 3, 2L << 32 | 7)).rule, Referee.Rule.WAIT);
+    }
+
     private static void breakIt(Referee referee, Referee.Rule rule) {
         switch (rule) {
             case LOST -> referee.close(1_300_001, 2);
