--- a/lab/src/main/java/yewpath/lab/referee/Referee.java
+++ b/lab/src/main/java/yewpath/lab/referee/Referee.java
@@ -30,6 +30,18 @@
     public enum Kind { REPEATABLE, TAGGED, ONCE_ONLY }
 
     private static final long SAME_MOMENT = 50_000, AFTER_RESTART = 1_500_000;
+    /** Maps of relays, each of its own. */
+    private static final class Apart<T> {
+        private final List<Map<Integer, T>> maps = new ArrayList<>();
+
+        Map<Integer, T> of(int relay) {
+            while (maps.size() <= relay) {
+                maps.add(new HashMap<>());
+            }
+            return maps.get(relay);
+        }
+    }
+
     private static final byte OWED = 1, OVER = 2, EXCUSED = 4;
     /** The trace holds so many of the last events. */
     private static final int KEPT = 1 << 16;
@@ -50,12 +62,15 @@
     /** Of intents, which one envelope after another may carry. */
     private int[] runs = new int[1024];
     private long[] firstRun = new long[1024];
-    /** By route: when told, and until when. */
-    private final Map<Long, long[]> waits = new HashMap<>();
+    /**
+     * Each by relay, then by what it is about. One map over pairs would be slow: a long's hash is its halves' exclusive
+     * or, so that a few thousand hashes would serve some hundred thousand pairs.
+     */
+    private final Apart<long[]> waits = new Apart<>();
     /** Envelopes of which more than one shot is out, and since when. */
     private final Map<Integer, Long> beside = new HashMap<>();
-    private final Map<Long, Long> closedSince = new HashMap<>();
-    private final Map<Long, Integer> holdsKey = new HashMap<>();
+    private final Apart<Long> closedSince = new Apart<>();
+    private final Apart<Integer> holdsKey = new Apart<>();
 
     private final long[] traceAt = new long[KEPT];
     private final int[] traceOf = new int[KEPT];
@@ -151,24 +166,25 @@
     /** {@code relay} begins a call; {@code key} is negative where nothing is ordered. */
     public void sent(long at, int envelope, int relay, int endpoint, int key) {
         note(at, What.SENT, envelope, endpoint);
-        Long closed = closedSince.get(pair(relay, endpoint));
+        Long closed = closedSince.of(relay).get(endpoint);
         if (closed != null && at > closed + drainAfter) {
             breaks(Rule.DRAIN, at, envelope, "sent to " + endpoint + " " + (at - closed) + " us after the relay was told");
         }
         if (key >= 0) {
-            Integer holder = holdsKey.putIfAbsent(pair(relay, key), envelope);
+            Integer holder = holdsKey.of(relay).putIfAbsent(key, envelope);
             if (holder != null && holder != envelope) {
                 breaks(Rule.ORDER, at, envelope, "sent while " + holder + " of its key is out");
             }
         }
     }
 
+    /** {@code route} is what a wait binds: a relay in its upper half, a destination in its lower. */
     public void arrived(long at, int envelope, int endpoint, long route) {
         note(at, What.ARRIVED, envelope, endpoint);
         if (++out[envelope] > 1) {
             beside.putIfAbsent(envelope, at);
         }
-        long[] wait = waits.get(route);
+        long[] wait = waits.of((int) (route >> 32)).get((int) route);
         // What was under way when it was told may still arrive.
         if (wait != null && at < wait[1] && at > wait[0] + waitGrace) {
             breaks(Rule.WAIT, at, envelope, (wait[1] - at) + " us before a told wait ends");
@@ -209,15 +225,15 @@
     /** The relay has the outcome; nothing of this key is out there any more. */
     public void back(int envelope, int relay, int key) {
         if (key >= 0) {
-            holdsKey.remove(pair(relay, key), envelope);
+            holdsKey.of(relay).remove(key, envelope);
         }
     }
 
     /** A relay has died: what it had out is back, and a restart ends the waits it was told, as the operators have it. */
     public void died(int relay) {
-        waits.keySet().removeIf(route -> route >> 32 == relay);
-        holdsKey.keySet().removeIf(pair -> pair >> 32 == relay);
-        closedSince.keySet().removeIf(pair -> pair >> 32 == relay);
+        waits.of(relay).clear();
+        holdsKey.of(relay).clear();
+        closedSince.of(relay).clear();
     }
 
     public void fulfilled(long at, int envelope) {
@@ -245,9 +261,9 @@
 
     /** A wait was written to a relay; {@code route} is what it binds. */
     public void waitTold(long at, long route, long length) {
-        long[] wait = waits.get(route);
+        long[] wait = waits.of((int) (route >> 32)).get((int) route);
         if (wait == null || at >= wait[1]) {
-            waits.put(route, new long[] {at, at + length});
+            waits.of((int) (route >> 32)).put((int) route, new long[] {at, at + length});
         } else {
             wait[1] = Math.max(wait[1], at + length);
         }
@@ -255,9 +271,9 @@
 
     public void listed(long at, int relay, int endpoint, boolean open) {
         if (open) {
-            closedSince.remove(pair(relay, endpoint));
+            closedSince.of(relay).remove(endpoint);
         } else {
-            closedSince.putIfAbsent(pair(relay, endpoint), at);
+            closedSince.of(relay).putIfAbsent(endpoint, at);
         }
     }
 
@@ -284,10 +300,6 @@
         return open;
     }
 
-    private static long pair(int relay, int other) {
-        return (long) relay << 32 | other;
-    }
-
     public int count(Rule rule) {
         return counts[rule.ordinal()];
     }
--- a/lab/src/main/java/yewpath/lab/world/RelayHost.java
+++ b/lab/src/main/java/yewpath/lab/world/RelayHost.java
@@ -23,7 +23,9 @@
     /** Each life's late answers and timers are not the next one's. */
     private int life;
     private boolean turnAsked;
-    private final ArrayList<Runnable> acts = new ArrayList<>();
+    /** What the policy asked for; two lists in turn, since one of them is being carried out. */
+    private ArrayList<Runnable> acts = new ArrayList<>();
+    private ArrayList<Runnable> spare = new ArrayList<>();
     private Envelope[] held = new Envelope[64];
     private boolean[] over = new boolean[64];
     private int[] shotsOut = new int[64];
@@ -82,9 +84,11 @@
         policy.turn();
         decideNanos += System.nanoTime() - begun;
         // What an act asks in turn waits for the next round.
-        List<Runnable> now = List.copyOf(acts);
-        acts.clear();
+        ArrayList<Runnable> now = acts;
+        acts = spare;
         now.forEach(Runnable::run);
+        now.clear();
+        spare = now;
     }
 
     @Override
