--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -306,7 +306,7 @@
         }
     }
 
-    /** Guards against keys long over being kept for good: nothing is known of one that neither waits nor rests. */
+    /** Guards against keys long over being kept for good: of one that neither waits nor rests nothing counts. */
     private void letGo(KeyLine line) {
         if (line.waiting.isEmpty() && line.restUntil > now) {
             later(line.restUntil, () -> letGo(line));
