--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -306,7 +306,7 @@
         }
     }
 
-    /** Guards against keys long over being kept for good: of one that neither waits nor rests nothing counts. */
+    /** Guards against keys long over being kept for good: one that neither waits nor rests counts no more. */
     private void letGo(KeyLine line) {
         if (line.waiting.isEmpty() && line.restUntil > now) {
             later(line.restUntil, () -> letGo(line));
