--- a/lab/src/main/java/yewpath/lab/Starts.java
+++ b/lab/src/main/java/yewpath/lab/Starts.java
@@ -10,13 +10,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import yewpath.lab.load.Proc;
 import yewpath.standins.io.Reactor;
 import yewpath.standins.peer.Client;
 import yewpath.standins.peer.Endpoint;
@@ -31,8 +31,6 @@
  */
 final class Starts {
     private static final long SECOND = 1_000_000;
-    /** Clock ticks a second in /proc, which is fixed at 100 for what Linux tells programs. */
-    private static final int TICK_MS = 10;
 
     private record Figures(double readyMs, double readyCpuMs, double residentMb, double cpuMicros, double fulfilled) { }
 
@@ -103,6 +101,7 @@
             builder.environment().put("NODE_CONFIG", config.toString());
             long begun = System.nanoTime();
             Process process = builder.start();
+            Proc proc = new Proc(process.pid());
             try {
                 while (!isReady(at)) {
                     if (!process.isAlive()) {
@@ -111,11 +110,11 @@
                     Thread.sleep(2);
                 }
                 double readyMs = (System.nanoTime() - begun) / 1e6;
-                double readyCpu = cpuMs(process.pid());
+                double readyCpu = proc.cpuMs();
                 load(reactor, accounts, new Client(reactor, accounts, at));
-                double cpu = cpuMs(process.pid()) - readyCpu;
+                double cpu = proc.cpuMs() - readyCpu;
                 long fulfilled = accounts.all().stream().filter(one -> one.end == Accounts.End.FULFILLED).count();
-                return new Figures(readyMs, readyCpu, residentMb(process.pid()), cpu * 1000 / envelopes, fulfilled);
+                return new Figures(readyMs, readyCpu, proc.residentMb(), cpu * 1000 / envelopes, fulfilled);
             } finally {
                 process.destroy();
                 if (!process.waitFor(5, TimeUnit.SECONDS)) {
@@ -168,17 +167,4 @@
             return false;
         }
     }
-
-    private static double cpuMs(long pid) throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-        // The second field, a name in brackets, may hold spaces.
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * (double) TICK_MS;
-    }
-
-    private static double residentMb(long pid) throws IOException {
-        return Arrays.stream(Files.readString(Path.of("/proc/" + pid + "/status")).split("\n"))
-            .filter(line -> line.startsWith("VmRSS:")).mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024)
-            .findFirst().orElse(Double.NaN);
-    }
 }
--- a/lab/src/main/java/yewpath/lab/load/Live.java
+++ b/lab/src/main/java/yewpath/lab/load/Live.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -115,16 +113,12 @@
         for (int second = 0; !over.await(1, TimeUnit.SECONDS); second++) {
             for (int i = 0; i < processes.size(); i++) {
                 try {
-                    Path proc = Path.of("/proc/" + processes.get(i).pid());
-                    String stat = Files.readString(proc.resolve("stat"));
-                    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-                    long now = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 10;
+                    Proc proc = new Proc(processes.get(i).pid());
+                    long now = proc.cpuMs();
                     first[i] = second == 0 ? now : first[i];
                     cpu[i] = Math.max(cpu[i], now - first[i]);
-                    resident[i] = Math.max(resident[i], Long.parseLong(fields[21]) * 4096 >> 20);
-                    try (var files = Files.list(proc.resolve("fd"))) {
-                        descriptors[i] = Math.max(descriptors[i], files.count());
-                    }
+                    resident[i] = Math.max(resident[i], (long) proc.residentMb());
+                    descriptors[i] = Math.max(descriptors[i], proc.descriptors());
                 } catch (IOException gone) {
                     // Killed by the scenario, and not yet back.
                     continue;
