--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -117,7 +117,9 @@
         SizesWord sizes = new SizesWord();
         FootprintWord footprint = new FootprintWord();
         JCommander line = JCommander.newBuilder().programName("yewpath-lab").addObject(main)
-            .addCommand("run", run).addCommand("load", load).addCommand("search", search).addCommand("compare", compare).addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts).addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
+            .addCommand("run", run).addCommand("load", load).addCommand("search", search).addCommand("compare", compare)
+            .addCommand("report", report).addCommand("keys", new KeysWord()).addCommand("starts", starts)
+            .addCommand("footprint", footprint).addCommand("sizes", sizes).addCommand("version", new VersionWord()).build();
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -130,100 +132,81 @@
         if (line.getParsedCommand() == null) {
             fail("a command is missing (yewpath-lab --help lists them)");
         }
-        if (line.getParsedCommand().equals("run")) {
-            System.exit(run(run));
-        }
-        if (line.getParsedCommand().equals("search")) {
-            System.exit(search(search));
-        }
-        if (line.getParsedCommand().equals("load")) {
-            System.exit(load(load));
-        }
-        if (line.getParsedCommand().equals("compare") || line.getParsedCommand().equals("report")) {
-            try {
-                System.exit(line.getParsedCommand().equals("report") ? report(report) : compare(compare));
-            } catch (IOException e) {
-                System.err.println("yewpath-lab: cannot be read or written: " + e.getMessage());
-                System.exit(1);
-            } catch (Faults faults) {
-                faults.lines().forEach(System.err::println);
-                System.exit(2);
-            }
-        }
-        if (line.getParsedCommand().equals("keys")) {
-            System.out.print(ScenarioFile.reference());
-            return;
-        }
-        if (line.getParsedCommand().equals("starts")) {
-            System.exit(starts(starts));
-        }
-        if (line.getParsedCommand().equals("sizes")) {
-            try {
-                System.exit(new Sizes(System.out).run(sizes.envelopes, sizes.destinations));
-            } catch (Faults faults) {
-                throw new IllegalStateException(faults);
-            }
+        String word = line.getParsedCommand();
+        try {
+            System.exit(switch (word) {
+                case "run" -> run(run);
+                case "search" -> search(search);
+                case "load" -> load(load);
+                case "compare" -> compare(compare);
+                case "report" -> report(report);
+                case "keys" -> print(ScenarioFile.reference());
+                case "starts" -> starts(starts);
+                case "sizes" -> new Sizes(System.out).run(sizes.envelopes, sizes.destinations);
+                case "footprint" -> footprint(footprint);
+                default -> print("yewpath-lab " + version() + "\n");
+            });
+        } catch (Faults faults) {
+            faults.lines().forEach(System.err::println);
+            System.exit(2);
+        } catch (IOException e) {
+            boolean reads = word.equals("compare") || word.equals("report");
+            System.err.println("yewpath-lab: " + (reads ? "cannot be read or written: " : "") + e.getMessage());
+            System.exit(1);
         }
-        if (line.getParsedCommand().equals("footprint")) {
-            if (footprint.count < 1_000 || footprint.count > 1_000_000) {
-                fail("--count is from 1000 to 1000000");
-            }
-            System.exit(new Footprint(System.out).run(footprint.count));
+    }
+
+    private static int print(String text) {
+        System.out.print(text);
+        return 0;
+    }
+
+    private static String version() {
+        String told = Main.class.getPackage().getImplementationVersion();
+        return told == null ? "unpackaged" : told;
+    }
+
+    private static int footprint(FootprintWord words) {
+        if (words.count < 1_000 || words.count > 1_000_000) {
+            fail("--count is from 1000 to 1000000");
         }
-        String version = Main.class.getPackage().getImplementationVersion();
-        System.out.println("yewpath-lab " + (version == null ? "unpackaged" : version));
+        return new Footprint(System.out).run(words.count);
     }
 
-    private static int run(RunWord words) throws InterruptedException {
+    private static int run(RunWord words) throws IOException, InterruptedException, Faults {
         if (words.files.size() != 1 || words.threads < 1) {
             fail("run takes one file, and at least one thread");
         }
-        try {
-            Path file = Path.of(words.files.get(0));
-            ScenarioFile scenario = ScenarioFile.read(file.toString());
-            Path folder = Files.createDirectories(words.to == null ? Path.of("found", scenario.base().name) : Path.of(words.to));
-            Path kept = folder.resolve("scenario.toml");
-            if (Files.exists(kept) && !Files.readString(kept).equals(Files.readString(file))) {
-                fail(folder + " holds runs of another scenario; name another folder by --to");
-            }
-            Files.writeString(kept, Files.readString(file));
-            int code = new Runs(System.out, folder, scenario).play(words.threads);
-            System.out.println("results in " + folder);
-            return code;
-        } catch (Faults faults) {
-            faults.lines().forEach(System.err::println);
-            return 2;
-        } catch (IOException e) {
-            System.err.println("yewpath-lab: " + e.getMessage());
-            return 1;
+        Path file = Path.of(words.files.get(0));
+        ScenarioFile scenario = ScenarioFile.read(file.toString());
+        Path folder = Files.createDirectories(words.to == null ? Path.of("found", scenario.base().name) : Path.of(words.to));
+        Path kept = folder.resolve("scenario.toml");
+        if (Files.exists(kept) && !Files.readString(kept).equals(Files.readString(file))) {
+            fail(folder + " holds runs of another scenario; name another folder by --to");
         }
+        Files.writeString(kept, Files.readString(file));
+        int code = new Runs(System.out, folder, scenario).play(words.threads);
+        System.out.println("results in " + folder);
+        return code;
     }
 
-    private static int search(SearchWord words) throws InterruptedException {
+    private static int search(SearchWord words) throws IOException, InterruptedException, Faults {
         if (words.files.size() != 1 || words.days < 4 || words.days > 100_000 || words.threads < 1) {
             fail("search takes one file, and --days from 4 to 100000");
         }
-        try {
-            ScenarioFile file = ScenarioFile.read(words.files.get(0));
-            if (file.ranges().isEmpty()) {
-                fail(words.files.get(0) + " has no sweep: its least and most figures are the ranges to look in");
-            }
-            Search search = new Search(file, Search.againstRivals(file), words.seed, words.threads, System.out);
-            Path to = Path.of(words.to).toAbsolutePath();
-            Files.createDirectories(to.getParent());
-            Files.writeString(to, search.text(search.find(words.days)));
-            System.out.println("the day is in " + words.to);
-            return 0;
-        } catch (Faults faults) {
-            faults.lines().forEach(System.err::println);
-            return 2;
-        } catch (IOException e) {
-            System.err.println("yewpath-lab: " + e.getMessage());
-            return 1;
+        ScenarioFile file = ScenarioFile.read(words.files.get(0));
+        if (file.ranges().isEmpty()) {
+            fail(words.files.get(0) + " has no sweep: its least and most figures are the ranges to look in");
         }
+        Search search = new Search(file, Search.againstRivals(file), words.seed, words.threads, System.out);
+        Path to = Path.of(words.to).toAbsolutePath();
+        Files.createDirectories(to.getParent());
+        Files.writeString(to, search.text(search.find(words.days)));
+        System.out.println("the day is in " + words.to);
+        return 0;
     }
 
-    private static int load(LoadWord words) throws InterruptedException {
+    private static int load(LoadWord words) throws IOException, InterruptedException, Faults {
         if (words.files.size() != 1) {
             fail("load takes one file");
         }
@@ -249,15 +232,9 @@
             }
             sockets.rulesBroken().forEach(System.out::println);
             return sockets.broken() == 0 ? 0 : 1;
-        } catch (Faults faults) {
-            faults.lines().forEach(System.err::println);
-            return 2;
         } catch (IllegalArgumentException unfit) {
             System.err.println("yewpath-lab: " + unfit.getMessage());
             return 2;
-        } catch (IOException e) {
-            System.err.println("yewpath-lab: " + e.getMessage());
-            return 1;
         }
     }
 
@@ -285,7 +262,7 @@
         return 0;
     }
 
-    private static int starts(StartsWord words) throws InterruptedException {
+    private static int starts(StartsWord words) throws IOException, InterruptedException {
         if (words.times < 1 || words.times > 100 || words.envelopes < 1 || words.envelopes > 100_000 || words.rate < 1
             || words.rate > 5_000) {
             fail("a figure is out of its range (yewpath-lab --help tells them)");
@@ -296,12 +273,7 @@
                 fail(checkout + " has no deploy/run.sh");
             }
         }
-        try {
-            return new Starts(System.out, words.envelopes, words.rate).run(checkouts, words.times);
-        } catch (IOException e) {
-            System.err.println("yewpath-lab: " + e.getMessage());
-            return 1;
-        }
+        return new Starts(System.out, words.envelopes, words.rate).run(checkouts, words.times);
     }
 
     private static void fail(String message) {
