--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -23,7 +23,7 @@
 
     // The design's own figures: where a window starts and ends, how it is cut and raised, and how often.
     private static final double START = 0.75, CUT = 0.8, RAISE = 1.5;
-    private static final long TICK = SECOND, IDLE = 20 * SECOND;
+    private static final long TICK = SECOND, IDLE = 20 * SECOND, MEMORY = 60 * SECOND;
     // An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope.
     private static final long GIVE_UP_AHEAD = 40 * MS;
 
@@ -60,6 +60,23 @@
         double listed = Double.NaN, told = Double.NaN, pace, tokens = 1;
         long waitUntil, tokensAt, pressedAt = -NEVER;
         int fulls, members;
+        final Destination of;
+
+        Route(Destination of) {
+            this.of = of;
+        }
+    }
+
+    /** How often something happened, with what is long past fading out of it. */
+    private static final class Count {
+        private double sum;
+        private long at;
+
+        double by(long now) {
+            sum *= Math.exp((at - now) / (double) MEMORY);
+            at = now;
+            return sum;
+        }
     }
 
     /** What falls due at a time: nothing is looked at between events but what one of these names. */
@@ -71,14 +88,16 @@
         double window = cap;
         boolean filled, ready;
         long lastUsed, wakeAt = NEVER;
-        final Route shared = new Route();
+        final Route shared = new Route(this);
+        final Count asked = new Count();
         /** Two for each offering: those in time in order of arrival, then the late. */
         final List<ArrayDeque<Envelope>> lines = Stream.generate(ArrayDeque<Envelope>::new)
             .limit(2 * offerings.length).toList();
     }
 
     private final Egress out;
-    private final long seed;
+    private final long seed, began;
+    private final Count askedInAll = new Count();
     private long now, drawn, turns, ordered, callOffAt, renewUntil, alarmAt = NEVER;
     private int slotsOut, open, chosen;
     private boolean listWhole;
@@ -104,7 +123,7 @@
     public Logic(Settings s, long seed, Egress out, long now) {
         this.out = out;
         this.seed = seed;
-        this.now = now;
+        this.now = began = now;
         offerings = s.offerings.clone();
         apart = s.routesApart.clone();
         bundles = s.bundle.clone();
@@ -116,7 +135,7 @@
         relays = max(1, s.relays);
         halving = s.halving;
         ratesListed = s.listTellsRate;
-        rateDoubt = s.rateIsRough ? 1 / 1.5 : 1;
+        rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
         coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
         coldFor = s.coldFor > 0 ? s.coldFor : 15 * SECOND;
         coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
@@ -161,6 +180,8 @@
         e.expiry = expiry;
         e.agreedAt = expiry - o.expiry() + o.agreed();
         e.to = destination(destination);
+        e.to.asked.sum = e.to.asked.by(now) + 1;
+        askedInAll.sum = askedInAll.by(now) + 1;
         e.giveUpAt = expiry - GIVE_UP_AHEAD;
         e.shots = shots;
         open++;
@@ -433,6 +454,21 @@
         return r.told > 0 ? r.told : r.listed;
     }
 
+    /**
+     * Calls a second a route takes from all relays, roughly. Where nothing is told or listed, what this relay is
+     * asked for there stands in, with the mean over all destinations as one envelope's worth of doubt.
+     */
+    private double sizeOf(Route r) {
+        double known = rateOf(r);
+        if (known > 0) {
+            return known;
+        }
+        double since = MEMORY * (1 - Math.exp((began - now) / (double) MEMORY)) / SECOND;
+        double each = max(1, askedInAll.by(now)) / destinations.size();
+        return relays * (r.of.asked.by(now) + 1) / max(1, since) / (1 + 1 / each)
+            / (r == r.of.shared ? 1 : max(1, r.of.endpoints.length));
+    }
+
     /** This relay's even part, and some of what the others, the more they are, leave unused on the whole. */
     private double part(Route r) {
         return rateOf(r) * (PACE_START / relays + LENT * (1 - 1.0 / relays));
@@ -464,14 +500,14 @@
         // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
         r.tokens -= min(1, relays / 50.0) * chance();
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
-        double pause = max(pauseAfter(rateOf(r), r.fulls), spread);
+        double pause = max(pauseAfter(sizeOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
     }
 
     private double pauseAfter(double rate, int run) {
         // Guards against refusals feeding on themselves where refused calls use up the limit, and many relays
         // back at one moment: in a run the pause grows past this relay's even part of the limit.
-        double one = SECOND / max(0.1, rate > 0 ? rate : 4);
+        double one = SECOND / max(0.1, rate);
         double growth = Math.pow(2 + min(2, relays / 24.0), min(9, run - 1)) * (0.75 + chance() / 2);
         return min(max(2 * SECOND, 1.5 * relays * one), max(120 * MS, min(relays / 8.0, 30) * one) * growth);
     }
@@ -545,7 +581,7 @@
             .map(i -> phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0).sum();
         crowding *= turnedAway && run > 1 ? 0.9 : 1;
         run += crowding > 0.3 ? 0 : 1;
-        long pause = (long) pauseAfter(rateOf(routeOf[at]) / max(1, routeOf[at].members), run);
+        long pause = (long) pauseAfter(sizeOf(routeOf[at]) / max(1, routeOf[at].members), run);
         if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
             // Guards against reading a full connection table, which turns calls away at once, as an outage:
             // it takes a run of failures over all endpoints. Where answers were seldom seen to follow such
@@ -602,7 +638,7 @@
      */
     private double ramp(int at, long since) {
         Route r = routeOf[at];
-        double rate = r.told > 0 ? r.told : r.listed > 0 ? r.listed * rateDoubt : 2;
+        double rate = r.told > 0 ? r.told : sizeOf(r) * rateDoubt;
         double warm = coldFrom + (1 - coldFrom) * min(1, since / (double) coldFor);
         double knowing = min(relays, max(1, rate * IDLE / SECOND));
         return rate * (coldMultiple * warm + 1 - knowing / relays) / knowing / max(1, r.members);
@@ -807,7 +843,7 @@
             d.endpoints = copyOf(d.endpoints, d.endpoints.length + 1);
             d.endpoints[d.endpoints.length - 1] = at;
             d.bundle = kind < bundles.length ? max(1, bundles[kind]) : 1;
-            routeOf[at] = isApart ? new Route() : d.shared;
+            routeOf[at] = isApart ? new Route(d) : d.shared;
             routeOf[at].tokensAt = now;
             int health = Arrays.stream(d.endpoints)
                 .map(i -> sickSince[i] >= 0 ? 1 : phase[i] == UP ? 2 : 0).reduce(0, (a, b) -> a | b);
@@ -823,9 +859,6 @@
         }
         turnPhase(at, phaseNow);
         rouse(d);
-        if (sentLast[at] == 0) {
-            gap[at] = SECOND * relays * max(1, routeOf[at].members) / max(0.1, rateOf(routeOf[at]));
-        }
     }
 
     private void turnPhase(int at, int phaseNow) {
@@ -1015,7 +1048,8 @@
         d.lastUsed = now;
         calls[at]++;
         callsOut.add(call);
-        gap[at] += sentLast[at] == 0 ? 0 : 0.3 * (now - sentLast[at] - gap[at]);
+        gap[at] = sentLast[at] == 0 ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
+            : gap[at] + 0.3 * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
         routeOf[at].tokens--;
         budget[at]--;
