--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -562,14 +562,13 @@
             // Guards against ramps where answers get lost: one in time to a call from before ends no outage.
             boolean falseAlarm = call.sentAt <= sickSince[at] && elapsed < SECOND;
             if (sickSince[at] >= 0 && !falseAlarm && (ill[at] >= 0.15 || mayHaveRun[at])) {
-                back(at);
+                // As they mostly go together, so they return: each is ramped, and doubted sooner.
+                Arrays.stream(call.to.endpoints).filter(i -> i == at || sickSince[i] >= 0
+                    && routeOf[i] == routeOf[at]).forEach(this::back);
             } else if (backSince[at] >= 0) {
                 backCap[at]++;
             }
-            if (sickSince[at] >= 0) {
-                out.health(at, true);
-            }
-            sickSince[at] = -1;
+            well(at);
             return;
         }
         lastAnswer[at] = outcome == ERROR || outcome >= BROKEN ? now : lastAnswer[at];
@@ -630,6 +629,14 @@
         budget[at] = min(1, 2 * ramp(at, 0) * fallFor / SECOND);
         budgetAt[at] = now;
         ill[at] = badRun[at] = 0;
+        well(at);
+    }
+
+    private void well(int at) {
+        if (sickSince[at] >= 0) {
+            out.health(at, true);
+        }
+        sickSince[at] = -1;
     }
 
     /**
