Envelopes that come for what is sick or back earn their part of a call there

Tap: a relay that met one failed connect at 21.4 s tried next at 58.95 s while 15 envelopes came for it. Cause: trialGap spreads a destination's bearing evenly over all relays that may know; with keys and clumps a few relays have much of the traffic at a moment.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -85,7 +85,7 @@
     private final class Destination {
         int[] endpoints = {};
         int generation, sentUnder, inFlight, held, bundle = 1;
-        double window = cap;
+        double window = cap, earned;
         boolean filled, ready;
         long lastUsed, wakeAt = NEVER;
         final Route shared = new Route(this);
@@ -182,6 +182,7 @@
         e.to = destination(destination);
         e.to.asked.sum = e.to.asked.by(now) + 1;
         askedInAll.sum = askedInAll.by(now) + 1;
+        earn(e.to);
         e.giveUpAt = expiry - GIVE_UP_AHEAD;
         e.shots = shots;
         open++;
@@ -424,7 +425,7 @@
         long from = max(r.waitUntil, crowdedAt[at]);
         from = r.tokens < 1 ? max(from, now + 1 + (long) ((1 - r.tokens) / r.pace * SECOND)) : from;
         if (sickSince[at] >= 0) {
-            from = max(from, trialAt[at]);
+            from = ownerOf[at].earned >= 1 ? from : max(from, trialAt[at]);
         } else if (backSince[at] >= 0 && budget[at] < 1) {
             from = max(from, now + 1 + (long) ((1 - budget[at]) / ramp(at, now - backSince[at]) * SECOND));
         }
@@ -646,9 +647,23 @@
     private double ramp(int at, long since) {
         Route r = routeOf[at];
         double rate = r.told > 0 ? r.told : sizeOf(r) * rateDoubt;
-        double warm = coldFrom + (1 - coldFrom) * min(1, since / (double) coldFor);
         double knowing = min(relays, max(1, rate * IDLE / SECOND));
-        return rate * (coldMultiple * warm + 1 - knowing / relays) / knowing / max(1, r.members);
+        return rate * (coldMultiple * warm(since) + 1 - knowing / relays) / knowing / max(1, r.members);
+    }
+
+    /**
+     * Each envelope that comes for what is sick or back earns its part of a call. Who sends there at a moment are a
+     * few relays with much for it, by keys and clumps: an even part over all that may know kept these waiting.
+     */
+    private void earn(Destination d) {
+        d.earned = min(1, d.earned + coldMultiple * coldFrom);
+        for (int at : d.endpoints) {
+            budget[at] += backSince[at] < 0 ? 0 : coldMultiple * warm(now - backSince[at]) / routeOf[at].members;
+        }
+    }
+
+    private double warm(long since) {
+        return coldFrom + (1 - coldFrom) * min(1, since / (double) coldFor);
     }
 
     private long trialGap(int at) {
@@ -1061,6 +1076,7 @@
         routeOf[at].tokens--;
         budget[at]--;
         trialAt[at] = sickSince[at] >= 0 ? now + trialGap(at) : 0;
+        d.earned = sickSince[at] >= 0 ? 0 : d.earned;
         fill(d);
         listen(at);
         if (now < renewUntil) {
