A full table seen at one endpoint closes idle connections at all of its kind

Tap: relays that hold an idle connection are served and never see a failed connect, so the old guard, by endpoint, never acted at them.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -127,6 +127,8 @@
         offerings = s.offerings.clone();
         apart = s.routesApart.clone();
         bundles = s.bundle.clone();
+        kindCrowdedAt = new long[max(1, apart.length)];
+        Arrays.fill(kindCrowdedAt, -NEVER);
         slots = max(1, s.slots);
         cap = max(1, (int) (START * slots));
         sickCap = max(1, slots / 2);
@@ -394,7 +396,8 @@
 
     private Route[] routeOf = {};
     private Destination[] ownerOf = {};
-    private int[] zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {}, backCap = {};
+    private final long[] kindCrowdedAt;
+    private int[] kindOf = {}, zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {}, backCap = {};
     private double[] lat = {}, spread = {}, gap = {}, ill = {}, credit = {}, turnOf = {}, budget = {};
     private boolean[] mayHaveRun = {}, listNamed = {};
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
@@ -587,6 +590,7 @@
             // it takes a run of failures over all endpoints. Where answers were seldom seen to follow such
             // calls it is a crash, and all pause longer.
             callCap[at] = max(1, min(callCap[at], calls[at]));
+            kindCrowdedAt[kindOf[at]] = now;
             for (int i : call.to.endpoints) {
                 crowdedAt[i] = badRun[i] > 0 && routeOf[i] == routeOf[at] ? now + pause : crowdedAt[i];
             }
@@ -790,9 +794,10 @@
             callsOut.remove(call);
         }
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
-            && (now - crowdedAt[at] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
+            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
-            // one that would hardly be used again before it closes by itself only keeps others out.
+            // one that would hardly be used again before it closes by itself only keeps others out. Tables of
+            // one kind are alike, and a relay with an idle one never meets the failure that it causes.
             out.close(at);
         }
         r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
@@ -876,6 +881,7 @@
             }
         }
         zoneOf[at] = zone;
+        kindOf[at] = min(kind, kindCrowdedAt.length - 1);
         if (ratesListed) {
             routeOf[at].listed = rate;
         }
@@ -923,7 +929,7 @@
     }
 
     private void grow(int size) {
-        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); phase = copyOf(phase, size);
+        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); kindOf = copyOf(kindOf, size); phase = copyOf(phase, size);
         lat = copyOf(lat, size); ill = copyOf(ill, size); gap = copyOf(gap, size);
         spread = copyOf(spread, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
         budget = copyOf(budget, size); lastBad = copyOf(lastBad, size); badRun = copyOf(badRun, size);
