--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -57,7 +57,7 @@
 
     /** What limit, wait and pace belong to: a destination, or an endpoint where routes are apart. */
     private static final class Route {
-        double listed = Double.NaN, told = Double.NaN, pace, tokens = 1;
+        double listed = Double.NaN, told = Double.NaN, pace, left, tokens = 1;
         long waitUntil, tokensAt, pressedAt = -NEVER;
         int fulls, members;
         final Destination of;
@@ -426,7 +426,7 @@
             return NEVER;
         }
         long from = max(r.waitUntil, ownerOf[at].earned >= 1 ? 0 : crowdedAt[at]);
-        from = r.tokens < 1 ? max(from, now + 1 + (long) ((1 - r.tokens) / r.pace * SECOND)) : from;
+        from = r.tokens < 1 ? max(from, now + 1 + (long) ((1 - r.tokens) / speed(r) * SECOND)) : from;
         if (sickSince[at] >= 0) {
             from = ownerOf[at].earned >= 1 ? from : max(from, trialAt[at]);
         } else if (backSince[at] >= 0 && budget[at] < 1) {
@@ -452,7 +452,7 @@
     // ---- Pace
 
     private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5;
-    private static final double PACE_START = 1.2, LENT = 0.05;
+    private static final double PACE_START = 1.2, LENT = 0.05, AT_ONCE = 0.5, SPARED = 0.2;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
@@ -478,13 +478,18 @@
         return rateOf(r) * (PACE_START / relays + LENT * (1 - 1.0 / relays));
     }
 
+    /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
+    private double speed(Route r) {
+        return r.told > 0 ? max(r.pace, r.told * AT_ONCE * (r.left - SPARED)) : r.pace;
+    }
+
     private void refill(int at) {
         Route r = routeOf[at];
         r.pace = r.pace > 0 ? r.pace : part(r);
         // A destination that says it has no limit is left to the window: an even part of a guessed rate
         // kept envelopes waiting wherever many relays send little each.
         r.tokens = !(r.pace > 0) || r.told == 0 ? slots
-            : min(max(1, r.pace * 0.5), r.tokens + r.pace * (now - r.tokensAt) / SECOND);
+            : min(max(1, r.pace * 0.5), r.tokens + speed(r) * (now - r.tokensAt) / SECOND);
         r.tokensAt = now;
         if (now - backSince[at] > coldFor) {
             backSince[at] = -1;
@@ -801,6 +806,7 @@
             out.close(at);
         }
         r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
+        r.left = left >= 0 ? left : r.left;
         if (outcome == FULL) {
             if (!call.learnt) {
                 refused(r, call, wait);
