--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -518,7 +518,7 @@
         // back at one moment: in a run the pause grows past this relay's even part of the limit.
         double one = SECOND / max(0.1, rate);
         double growth = Math.pow(2 + min(2, relays / 24.0), min(9, run - 1)) * (0.75 + chance() / 2);
-        return min(max(2 * SECOND, 1.5 * relays * one), max(120 * MS, min(relays / 120.0, 30) * one) * growth);
+        return min(max(2 * SECOND, 1.5 * relays * one), max(120 * MS, min(relays / 40.0, 30) * one) * growth);
     }
 
     // ---- Health and return
