--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -116,8 +116,10 @@
     private final boolean[] apart;
     private final int[] bundles;
     private final int slots, cap, sickCap, shotLimit, fillMark, relays;
+    private final int zone;
+    private final double[] fees;
     private final boolean halving, ratesListed, mayCancel;
-    private final double rateDoubt, coldFrom, coldMultiple;
+    private final double crossing, rateDoubt, coldFrom, coldMultiple;
     private final long coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
@@ -136,6 +138,9 @@
         fillMark = s.holdLimit > 0 ? max(1, s.holdLimit - max(1, s.holdLimit / 16)) : Integer.MAX_VALUE;
         relays = max(1, s.relays);
         halving = s.halving;
+        zone = s.zone;
+        crossing = s.crossingPrice;
+        fees = s.fees.clone();
         ratesListed = s.listTellsRate;
         rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
         coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
@@ -403,11 +408,14 @@
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
     private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
+    /** Costs, as a part of an envelope's revenue, that halve an endpoint's turns. */
+    private static final double HALVES = 0.015;
+
     private int pick(Destination d, Envelope e) {
         int best = -1;
         double sum = 0;
         for (int at : d.endpoints) {
-            double weight = usable(at, e) ? (1.05 - min(1, ill[at])) / (lat[at] + 50 * MS) : 0;
+            double weight = usable(at, e) ? (1.05 - min(1, ill[at])) / (lat[at] + 50 * MS) / dearness(at) : 0;
             sum += weight;
             turnOf[at] += weight;
             best = weight > 0 && (best < 0 || turnOf[at] > turnOf[best]) ? at : best;
@@ -418,6 +426,13 @@
         return best;
     }
 
+    /** A crossing between zones, and a route's fee, take from the turns of an endpoint as from the result. */
+    private double dearness(int at) {
+        boolean isApart = routeOf[at] != ownerOf[at].shared;
+        return 1 + ((zoneOf[at] == zone ? 0 : crossing) + (isApart && zoneOf[at] < fees.length ? fees[zoneOf[at]] : 0))
+            / HALVES;
+    }
+
     /** When this endpoint may have a call as far as time decides; NEVER where only an answer can tell. */
     private long opensAt(int at) {
         Route r = routeOf[at];
--- a/decisions/src/main/java/yewpath/Settings.java
+++ b/decisions/src/main/java/yewpath/Settings.java
@@ -31,6 +31,11 @@
     public boolean[] routesApart = {};
     public int[] bundle = {};
     public double refusalPrice;
+    /** The zone this relay stands in, and what a shot into another costs as a part of an envelope's revenue. */
+    public int zone;
+    public double crossingPrice;
+    /** By zone: what a route apart there takes for an envelope, as a part of its revenue. */
+    public double[] fees = {};
     public long answerSlack;
     public long askEvery;
     public double coldFrom;
--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -60,6 +60,13 @@
         for (String zone : list("zones")) {
             zones.of(zone);
         }
+        s.zone = pairs.containsKey("locality") ? zones.of(pairs.get("locality")) : 0;
+        s.crossingPrice = number("prices.cross_zone");
+        String[] fees = list("family_info.carriage");
+        s.fees = new double[fees.length];
+        for (int i = 0; i < fees.length; i++) {
+            s.fees[i] = parse(fees[i]);
+        }
         String[] kindNames = list("kinds");
         String[] apart = list("family_info.routes_apart");
         String[] bundle = list("family_info.bundle_max");
