--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -409,7 +409,7 @@
     private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
     /** Costs, as a part of an envelope's revenue, that halve an endpoint's turns. */
-    private static final double HALVES = 0.015;
+    private static final double HALVES = 0.006;
 
     private int pick(Destination d, Envelope e) {
         int best = -1;
