The gap between calls falls quickly and grows slowly

Sessions and clumps bring calls a second apart to one relay; the first guess of a minute took six calls to fade and each opened a connection.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -1098,7 +1098,7 @@
         calls[at]++;
         callsOut.add(call);
         gap[at] = sentLast[at] == 0 ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
-            : gap[at] + 0.3 * (now - sentLast[at] - gap[at]);
+            : gap[at] + (now - sentLast[at] < gap[at] ? 0.7 : 0.3) * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
         routeOf[at].tokens--;
         budget[at]--;
