--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -23,7 +23,7 @@
 
     // The design's own figures: where a window starts and ends, how it is cut and raised, and how often.
     private static final double START = 0.75, CUT = 0.8, RAISE = 1.5;
-    private static final long TICK = SECOND, IDLE = 20 * SECOND, MEMORY = 60 * SECOND;
+    private static final long TICK = SECOND, IDLE = 20 * SECOND, MEMORY = 20 * SECOND;
     // An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope.
     private static final long GIVE_UP_AHEAD = 40 * MS;
 
@@ -467,7 +467,7 @@
     // ---- Pace
 
     private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5;
-    private static final double PACE_START = 1.2, LENT = 0.05, AT_ONCE = 0.5, SPARED = 0.2;
+    private static final double PACE_START = 1.2, LENT = 0.05, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 3;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
@@ -495,7 +495,8 @@
 
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
-        return r.told > 0 ? max(r.pace, r.told * AT_ONCE * (r.left - SPARED)) : r.pace;
+        double own = CATCH_UP * r.of.asked.by(now) * SECOND / MEMORY;
+        return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
     }
 
     private void refill(int at) {
