--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -569,7 +569,7 @@
             Route r = routeOf[at];
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
-            double raise = now - r.pressedAt < TICK ? PACE_UP * max(part(r), r.pace) : 0;
+            double raise = now - r.pressedAt < TICK ? PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace) : 0;
             r.pace = min(max(r.pace, rateOf(r)), r.pace + raise);
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
