--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -496,8 +496,7 @@
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
         double own = CATCH_UP * r.of.asked.by(now) * SECOND / MEMORY;
-        double most = max(3 * own, PACE_START * rateOf(r) / relays);
-        return r.told > 0 ? max(min(r.pace, most), min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
+        return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
     }
 
     private void refill(int at) {
