--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -550,8 +550,9 @@
     private void learn(Call call, int outcome, long elapsed) {
         int at = call.endpoint;
         // Guards against connections that the other side closed unseen: a reset at once on a kept one tells
-        // nothing of health, and where these are not rare, new connections cost less.
-        boolean inVain = outcome == STALE && elapsed < lat[at] / 4;
+        // nothing of health, and where these are not rare, new connections cost less. Not every caller can tell a
+        // kept connection from a new one, so the time tells: a round trip, well under an answer's.
+        boolean inVain = (outcome == STALE || outcome == BROKEN) && elapsed < lat[at] / 2;
         stale += inVain ? 0.06 * (1 - stale) : 0;
         if (inVain || outcome == CANCELLED || outcome == MOOT) {
             return;
