--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -613,6 +613,7 @@
             // calls it is a crash, and all pause longer.
             callCap[at] = max(1, min(callCap[at], calls[at]));
             kindCrowdedAt[kindOf[at]] = now;
+            call.to.earned = 0;
             for (int i : call.to.endpoints) {
                 crowdedAt[i] = badRun[i] > 0 && routeOf[i] == routeOf[at] ? now + pause : crowdedAt[i];
             }
@@ -646,6 +647,7 @@
         }
         sickSince[at] = now;
         backSince[at] = -1;
+        ownerOf[at].earned = 0;
         mayHaveRun[at] = ran;
         trialAt[at] = now + trialGap(at);
     }
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -142,6 +142,9 @@
                     case "idle" -> settings.connectionIdle = ms(value);
                     case "connect" -> settings.connectTimeout = ms(value);
                     case "cancels" -> settings.mayCancel = value.equals("yes");
+                    case "zone" -> settings.zone = Integer.parseInt(value);
+                    case "crossing" -> settings.crossingPrice = Double.parseDouble(value);
+                    case "fees" -> settings.fees = Stream.of(value.split(",")).mapToDouble(Double::parseDouble).toArray();
                     case "seed" -> seed = Long.parseLong(value);
                     default -> throw new IllegalArgumentException("unknown figure " + key);
                 }
@@ -255,6 +258,7 @@
             sentAt.put(envelope, now);
             acts.add("send " + envelope + " " + endpointNames.get(endpoint) + " within=" + withinMicros / 100_000 / 10.0
                 + " @" + now / 1000);
+            acts.add("to " + endpointNames.get(endpoint));
         }
 
         @Override
