--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -582,6 +582,7 @@
             renewUntil = max(lost, stale) > 2 * LOSSY ? now + RENEW_FOR : renewUntil;
             badRun[at] = 0;
             ill[at] *= 0.8;
+            usual += 0.05 * (min(elapsed, 4 * usual) - usual);
             double off = min(elapsed, 4 * lat[at]) - lat[at];
             lat[at] += 0.15 * off;
             spread[at] += 0.15 * (Math.abs(off) - spread[at]);
@@ -639,7 +640,7 @@
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04, USUAL_LAT = 0.5 * SECOND;
     private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS,
         LONE_TRIAL = 3 * SECOND, HOPELESS = 1500 * MS;
-    private double lost, stale, crowding = 0.33;
+    private double lost, stale, crowding = 0.33, usual = USUAL_LAT;
 
     private void sicken(int at, boolean ran) {
         if (sickSince[at] < 0) {
@@ -1101,6 +1102,7 @@
         d.lastUsed = now;
         calls[at]++;
         callsOut.add(call);
+        lat[at] = lastAnswer[at] == 0 ? usual : lat[at];
         gap[at] = sentLast[at] == 0 ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
             : gap[at] + (now - sentLast[at] < gap[at] ? 0.7 : 0.3) * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
