--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -1019,7 +1019,9 @@
             ready.addLast(d);
             long typical = typical(d);
             int line = foremost(d, typical, 0);
-            double gain = line < 0 ? 0 : urgency(head(d, line), typical, horizon(d)) / (typical + 50 * MS);
+            // A trial may keep its slot until it times out.
+            long takes = isSick(d) ? max(HOPELESS, 6 * typical) : typical;
+            double gain = line < 0 ? 0 : urgency(head(d, line), typical, horizon(d)) / (takes + 50 * MS);
             if (gain > most) {
                 most = gain;
                 best = d;
