--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.util.*;
 import java.util.function.IntConsumer;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import java.util.zip.CRC32;
 
@@ -84,7 +85,7 @@
 
     private final class Destination {
         int[] endpoints = {};
-        int generation, sentUnder, inFlight, held, bundle = 1;
+        int generation, sentUnder, inFlight, held, open, bundle = 1;
         double window = cap, earned;
         boolean filled, ready;
         long lastUsed, wakeAt = NEVER;
@@ -93,6 +94,7 @@
         /** Two for each offering: those in time in order of arrival, then the late. */
         final List<ArrayDeque<Envelope>> lines = Stream.generate(ArrayDeque<Envelope>::new)
             .limit(2 * offerings.length).toList();
+        final ArrayDeque<Envelope> behind = new ArrayDeque<>(2);
     }
 
     private final Egress out;
@@ -193,10 +195,15 @@
         e.giveUpAt = expiry - GIVE_UP_AHEAD;
         e.shots = shots;
         open++;
+        if (e.to.open++ == 0) {
+            holding.add(e.to);
+        }
         later(e.giveUpAt, () -> giveUp(e));
         if (o.ordered() && key >= 0) {
             e.line = keyLines.computeIfAbsent(key, KeyLine::new);
             e.line.waiting.add(e);
+            lastBehind(e.to);
+            e.to.behind.addLast(e);
             e.line.restUntil = doubtSince >= 0 ? now + settle : e.line.restUntil;
         }
         doubt(e, doubtSince, doubtZone);
@@ -218,9 +225,7 @@
 
     private void hold(Envelope e, boolean again) {
         e.held = true;
-        if (e.to.held++ == 0) {
-            holding.add(e.to);
-        }
+        e.to.held++;
         rouse(e.to);
         ArrayDeque<Envelope> line = e.to.lines.get(2 * e.offering);
         if (!again || !line.offerFirst(e)) {
@@ -229,9 +234,7 @@
     }
 
     private void unhold(Envelope e) {
-        if (e.held && --e.to.held == 0) {
-            holding.remove(e.to);
-        }
+        e.to.held -= e.held ? 1 : 0;
         e.held = false;
     }
 
@@ -270,11 +273,15 @@
         }
     }
 
-    /** The hold is nearly full: what one destination can't take must not keep out the others' envelopes. */
+    /**
+     * The hold is nearly full: what one destination can't take must not keep out the others' envelopes. Those that
+     * wait behind another of their key count too, and the newest of them has the least to hope for.
+     */
     private void shed() {
-        Destination most = holding.stream().max(Comparator.comparingInt(d -> d.held)).orElse(null);
-        Envelope least = null;
-        for (int i = 0; most != null && i < most.lines.size(); i++) {
+        Destination most = holding.stream()
+            .max(Comparator.comparing(this::isSick).thenComparingInt(d -> d.open)).orElse(null);
+        Envelope behind = most == null ? null : lastBehind(most), least = behind;
+        for (int i = 0; most != null && behind == null && i < most.lines.size(); i++) {
             Envelope e = end(most.lines.get(i), i % 2 == 1);
             least = e == null || least != null && worth(e, now + SECOND) > worth(least, now + SECOND)
                 ? least : e;
@@ -284,6 +291,17 @@
         }
     }
 
+    private Envelope lastBehind(Destination d) {
+        Predicate<Envelope> waits = e -> e == null || !e.ended && e.line.waiting.peek() != e;
+        while (!waits.test(d.behind.peekFirst())) {
+            d.behind.pollFirst();
+        }
+        while (!waits.test(d.behind.peekLast())) {
+            d.behind.pollLast();
+        }
+        return d.behind.peekLast();
+    }
+
     /** One envelope of a key at a time, in the order taken; after a shot that may still run the key rests. */
     private void step(KeyLine line) {
         Envelope first = line.waiting.peek();
@@ -321,6 +339,9 @@
     private void close(Envelope e) {
         unhold(e);
         open -= e.ended ? 0 : 1;
+        if (!e.ended && --e.to.open == 0) {
+            holding.remove(e.to);
+        }
         e.ended = true;
     }
 
