--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -122,7 +122,7 @@
     private final double[] fees;
     private final boolean halving, ratesListed, mayCancel;
     private final double crossing, rateDoubt, coldFrom, coldMultiple;
-    private final long coldFor, fallFor, settle, askAgain, idleFor, connectFor;
+    private final long pauseLimit, coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
         this.out = out;
@@ -150,6 +150,7 @@
         coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
         fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
+        pauseLimit = s.pauseLimit;
         mayCancel = s.mayCancel;
         connectFor = s.connectTimeout > 0 ? s.connectTimeout - s.connectTimeout / 8 : NEVER;
         idleFor = s.connectionIdle > 0 ? s.connectionIdle : NEVER;
@@ -287,7 +288,7 @@
                 ? least : e;
         }
         if (least != null) {
-            finish(least, awayFor());
+            finish(least, isSick(most) ? max(SECOND, pauseLimit) : awayFor());
         }
     }
 
