The program takes what Logic now reads, checked; relays of both shapes before the same endpoints

Boot: locality, prices.cross_zone, family_info.carriage and limits.max_retry_after_ms are refused by path where they are no number, below 0, over 1, of another length than zones, or name no zone; bundle_max and routes_apart of another length than kinds too. Absent, all is as it was.

--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -47,6 +47,9 @@
         s.overShare = number("over_share_worth");
         s.tellsPause = yes("limits.retry_after");
         s.pauseLimit = micros("limits.max_retry_after_ms");
+        if (s.pauseLimit < 0) {
+            throw new Malformed("limits.max_retry_after_ms is below 0: " + pairs.get("limits.max_retry_after_ms"));
+        }
         s.refusalPrice = number("family_info.turned_away_price");
         s.answerSlack = micros("rules.answer_slack_ms");
         s.askEvery = micros("rules.ask_every_ms");
@@ -60,22 +63,29 @@
         for (String zone : list("zones")) {
             zones.of(zone);
         }
-        s.zone = pairs.containsKey("locality") ? zones.of(pairs.get("locality")) : 0;
-        s.crossingPrice = number("prices.cross_zone");
+        String locality = pairs.get("locality");
+        s.zone = locality == null ? -1 : zones.find(locality);
+        if (locality != null && s.zone < 0) {
+            throw new Malformed("locality: no such name in zones: " + locality);
+        }
+        s.crossingPrice = locality == null ? 0 : part("prices.cross_zone", pairs.get("prices.cross_zone"));
         String[] fees = list("family_info.carriage");
+        asMany("family_info.carriage", fees, "zones", list("zones"));
         s.fees = new double[fees.length];
         for (int i = 0; i < fees.length; i++) {
-            s.fees[i] = parse(fees[i]);
+            s.fees[i] = part("family_info.carriage." + i, fees[i]);
         }
         String[] kindNames = list("kinds");
         String[] apart = list("family_info.routes_apart");
         String[] bundle = list("family_info.bundle_max");
+        asMany("family_info.routes_apart", apart, "kinds", kindNames);
+        asMany("family_info.bundle_max", bundle, "kinds", kindNames);
         s.routesApart = new boolean[kindNames.length];
         s.bundle = new int[kindNames.length];
         for (int i = 0; i < kindNames.length; i++) {
             kinds.of(kindNames[i]);
             s.routesApart[i] = i < apart.length && isYes(apart[i]);
-            s.bundle[i] = i < bundle.length ? (int) parse(bundle[i]) : 1;
+            s.bundle[i] = i < bundle.length ? (int) parse("family_info.bundle_max." + i, bundle[i]) : 1;
         }
         s.offerings = new Settings.Offering[(int) number("request_classes.count")];
         for (int i = 0; i < s.offerings.length; i++) {
@@ -110,6 +120,24 @@
         return "token".equals(word) ? Settings.Kind.TAGGED : Settings.Kind.ONCE_ONLY;
     }
 
+    /** A share of an envelope's revenue; none where nothing is told. */
+    private double part(String path, String told) {
+        if (told == null || told.isEmpty() || told.equals("-")) {
+            return 0;
+        }
+        double value = parse(path, told);
+        if (!(value >= 0 && value <= 1)) {
+            throw new Malformed(path + " is not from 0 to 1: " + told);
+        }
+        return value;
+    }
+
+    private static void asMany(String path, String[] values, String namesPath, String[] names) {
+        if (values.length > 0 && values.length != names.length) {
+            throw new Malformed(path + " has " + values.length + " values where " + namesPath + " has " + names.length + " names");
+        }
+    }
+
     private String[] list(String path) {
         String value = pairs.getOrDefault(path, "");
         return value.isEmpty() || value.equals("-") ? new String[0] : value.split(",");
@@ -125,14 +153,14 @@
 
     private double number(String path) {
         String value = pairs.get(path);
-        return value == null || value.isEmpty() || value.equals("-") ? 0 : parse(value);
+        return value == null || value.isEmpty() || value.equals("-") ? 0 : parse(path, value);
     }
 
-    private static double parse(String value) {
+    private static double parse(String path, String value) {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new Malformed("not a number: " + value);
+            throw new Malformed(path + " is not a number: " + value);
         }
     }
 
--- /dev/null
+++ b/relay/src/test/java/yewpath/SettingsTest.java
@@ -0,0 +1,68 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import yewpath.relay.Config;
+
+/** The settings that the move brought, in the platform's JSON: taken, at their defaults, or refused by path. */
+public final class SettingsTest {
+    private static Config read(String from, String to) throws Exception {
+        String usual = Files.readString(Path.of("../example/config.json"));
+        assertTrue(usual.contains(from), from);
+        Path file = Files.createTempFile("yewpath", ".json");
+        try {
+            return Config.read(Files.writeString(file, usual.replace(from, to)).toString(), null, Map.of());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    public void areTakenAsTold() throws Exception {
+        Settings told = read("\"zones\": [\"here\"],", "\"zones\": [\"north\", \"south\"], \"locality\": \"south\","
+            + " \"prices\": {\"cross_zone\": 0.03},").boot.settings;
+        assertEquals(told.zone, 1);
+        assertEquals(told.crossingPrice, 0.03);
+        Settings fees = read("\"family_info\": {", "\"family_info\": {\"carriage\": [0.06],").boot.settings;
+        assertEquals(fees.fees, new double[] {0.06});
+    }
+
+    @Test
+    public void changeNothingWhereAbsent() throws Exception {
+        Settings told = read("\"zones\"", "\"zones\"").boot.settings;
+        assertEquals(told.crossingPrice, 0.0);
+        assertEquals(told.fees.length, 0);
+        // Where no zone is this relay's own, a price for crossing can't be due.
+        assertEquals(read("\"zones\"", "\"prices\": {\"cross_zone\": 0.03}, \"zones\"").boot.settings.crossingPrice, 0.0);
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"\"zones\"", "\"locality\": \"moon\", \"zones\"", "locality: no such name in zones: moon"},
+            {"\"zones\"", "\"locality\": \"here\", \"prices\": {\"cross_zone\": \"dear\"}, \"zones\"",
+                "prices.cross_zone is not a number: dear"},
+            {"\"zones\"", "\"locality\": \"here\", \"prices\": {\"cross_zone\": -0.1}, \"zones\"",
+                "prices.cross_zone is not from 0 to 1: -0.1"},
+            {"\"family_info\": {", "\"family_info\": {\"carriage\": [1.5],", "family_info.carriage.0 is not from 0 to 1: 1.5"},
+            {"\"family_info\": {", "\"family_info\": {\"carriage\": [0.1, 0.2],",
+                "family_info.carriage has 2 values where zones has 1 names"},
+            {"\"bundle_max\": [1]", "\"bundle_max\": [1, 5]", "family_info.bundle_max has 2 values where kinds has 1 names"},
+            {"\"routes_apart\": [false]", "\"routes_apart\": [false, true]", "family_info.routes_apart has 2 values"},
+            {"\"max_retry_after_ms\": 3000.0", "\"max_retry_after_ms\": -1", "limits.max_retry_after_ms is below 0: -1"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void areRefusedByPath(String from, String to, String fault) {
+        String told = expectThrows(Config.Fault.class, () -> read(from, to)).getMessage();
+        assertTrue(told.contains(fault), told);
+    }
+}
--- a/standins/src/main/java/yewpath/standins/peer/Endpoint.java
+++ b/standins/src/main/java/yewpath/standins/peer/Endpoint.java
@@ -42,8 +42,10 @@
     private Reactor.Port port;
     private InetSocketAddress address;
     private int generation;
+    private String zone = "here";
     private long startedAt;
     private long calls;
+    private long refusals;
 
     /** {@code changed} is called when the list should say something else of it. */
     public Endpoint(Reactor reactor, Accounts accounts, String name, int destination, String kind, double weight,
@@ -106,10 +108,27 @@
         return script.is(Step.Act.GONE, at) ? "removed" : script.is(Step.Act.DRAIN, at) ? "draining" : "up";
     }
 
+    /** Where it stands, as the list has it. */
+    @Override
+    public String zone() {
+        return zone;
+    }
+
+    /** As the list should have it from now on. */
+    public Endpoint in(String where) {
+        zone = where;
+        return this;
+    }
+
     public long calls() {
         return calls;
     }
 
+    /** Calls answered by 429. */
+    public long refusals() {
+        return refusals;
+    }
+
     public int connections() {
         return visits.size();
     }
@@ -214,8 +233,9 @@
             }
             long now = reactor.now();
             List<String> over = ended(mine.status() == 200, now);
+            refusals += mine.status() == 429 ? 1 : 0;
             if (mine.pause() > 0) {
-                accounts.waitTold("destination " + destination, mine.pause(), now);
+                accounts.waitToldFor(over.isEmpty() ? "" : over.get(0), "destination " + destination, mine.pause(), now);
                 wire.write(Message.answer(mine.status(), "Retry-After: " + mine.pause() / 1e6));
             } else if (bulk && mine.status() == 200) {
                 wire.write(Message.bytes("HTTP/1.1 200 -", allDone(over)));
--- a/standins/src/main/java/yewpath/standins/peer/Listed.java
+++ b/standins/src/main/java/yewpath/standins/peer/Listed.java
@@ -12,6 +12,10 @@
 
     double weight();
 
+    default String zone() {
+        return "here";
+    }
+
     InetSocketAddress address();
 
     /** up, draining or removed. */
--- a/standins/src/main/java/yewpath/standins/peer/Platform.java
+++ b/standins/src/main/java/yewpath/standins/peer/Platform.java
@@ -93,7 +93,7 @@
                 out.writeStartObject();
                 out.writeStringField("id", one.id());
                 out.writeStringField("addr", "127.0.0.1:" + one.address().getPort());
-                out.writeStringField("zone", "here");
+                out.writeStringField("zone", one.zone());
                 out.writeStringField("kind", one.kind());
                 out.writeNumberField("cell", one.destination());
                 out.writeStringField("state", one.state());
--- a/standins/src/main/java/yewpath/standins/process/RelayConfig.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayConfig.java
@@ -21,11 +21,24 @@
         public static final Told USUAL = new Told(1, 0, 32, 400, 8, 1_000, 10_000, 0.2, 3_000, 2, 1_000, 400, true, 192);
     }
 
+    /**
+     * What a deployment's shape tells beside that: whether rates are listed, the zones with what a route apart in each
+     * takes, where this relay stands and what a crossing costs.
+     */
+    public record Shape(String weights, List<String> zones, List<Double> fees, String locality, double crossing) {
+        public static final Shape USUAL = new Shape("nominal", List.of("here"), List.of(), null, 0);
+    }
+
     private RelayConfig() { }
 
-    /** {@code platform} is the address of discovery and notices, {@code state} the folder that lasts. */
     public static void write(Path file, InetSocketAddress address, String platform, Path state, List<Offering> offerings,
                              Told told) throws IOException {
+        write(file, address, platform, state, offerings, told, Shape.USUAL);
+    }
+
+    /** {@code platform} is the address of discovery and notices, {@code state} the folder that lasts. */
+    public static void write(Path file, InetSocketAddress address, String platform, Path state, List<Offering> offerings,
+                             Told told, Shape shape) throws IOException {
         try (OutputStream to = Files.newOutputStream(file);
              JsonGenerator out = new JsonFactory().createGenerator(to).useDefaultPrettyPrinter()) {
             out.writeStartObject();
@@ -44,8 +57,14 @@
             out.writeNumberField("balancers", told.relays);
             out.writeNumberField("ordinal", told.ordinal);
             out.writeStringField("discovery", "pushed");
-            out.writeStringField("weights", "nominal");
-            strings(out, "zones", "here");
+            out.writeStringField("weights", shape.weights);
+            strings(out, "zones", shape.zones.toArray(new String[0]));
+            if (shape.locality != null) {
+                out.writeStringField("locality", shape.locality);
+            }
+            out.writeObjectFieldStart("prices");
+            out.writeNumberField("cross_zone", shape.crossing);
+            out.writeEndObject();
             strings(out, "kinds", "plain", "bundled");
             out.writeObjectFieldStart("family_info");
             out.writeNumberField("max_calls", told.slots);
@@ -53,6 +72,11 @@
             out.writeNumber(1);
             out.writeNumber(20);
             out.writeEndArray();
+            out.writeArrayFieldStart("carriage");
+            for (double fee : shape.fees) {
+                out.writeNumber(fee);
+            }
+            out.writeEndArray();
             out.writeStringField("late", told.halving ? "by_half" : "evenly");
             out.writeEndObject();
             out.writeObjectFieldStart("limits");
--- a/standins/src/main/java/yewpath/standins/process/RelayProcess.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayProcess.java
@@ -27,6 +27,12 @@
     public RelayProcess(List<String> command, String platform, int port, List<RelayConfig.Offering> offerings, RelayConfig.Told told,
                         List<String> more)
             throws IOException, InterruptedException {
+        this(command, platform, port, offerings, told, RelayConfig.Shape.USUAL, more);
+    }
+
+    public RelayProcess(List<String> command, String platform, int port, List<RelayConfig.Offering> offerings, RelayConfig.Told told,
+                        RelayConfig.Shape shape, List<String> more)
+            throws IOException, InterruptedException {
         folder = Files.createTempDirectory("yewpath-demo");
         int taken = port;
         if (port == 0) {
@@ -36,7 +42,7 @@
         }
         address = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), taken);
         Path config = folder.resolve("config.json");
-        RelayConfig.write(config, address, platform, folder.resolve("state"), offerings, told);
+        RelayConfig.write(config, address, platform, folder.resolve("state"), offerings, told, shape);
         List<String> all = new ArrayList<>(command);
         all.addAll(List.of("serve", "--config", config.toString()));
         all.addAll(more);
