--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -544,8 +544,8 @@
             double even = rateOf(r) / relays, own = PACE_START * even;
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
-        // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
-        r.tokens -= min(1, relays / 50.0) * chance();
+        // The pause spaces what is sent again: a relay with one envelope would else wait out its even part as well.
+        r.tokens = min(1, r.tokens + 1);
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
         double pause = max(pauseAfter(sizeOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
