--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -545,7 +545,7 @@
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
         // The pause spaces what is sent again: a relay with one envelope would else wait out its even part as well.
-        r.tokens = min(1, r.tokens + 1);
+        r.tokens = r.fulls > 1 ? r.tokens : min(1, r.tokens + 1);
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
         double pause = max(pauseAfter(sizeOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
