--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -544,9 +544,8 @@
             double even = rateOf(r) / relays, own = PACE_START * even;
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
-        // The pause spaces what is sent again: a relay with one envelope would else wait out its even part as well.
-        // Where refused calls use up the limit, as is seen by how seldom the next is answered, it waits for both.
-        r.tokens = again > 0.6 ? min(1, r.tokens + 1) : r.tokens - min(1, relays / 50.0) * chance();
+        // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
+        r.tokens -= min(1, relays / 50.0) * chance();
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
         double pause = max(pauseAfter(sizeOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
@@ -591,7 +590,6 @@
         }
         if (outcome == FULFILLED) {
             Route r = routeOf[at];
-            again += r.fulls > 0 ? 0.1 * (1 - again) : 0;
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             double raise = now - r.pressedAt < TICK ? PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace) : 0;
@@ -664,7 +662,7 @@
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04, USUAL_LAT = 0.5 * SECOND;
     private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS,
         LONE_TRIAL = 3 * SECOND, HOPELESS = 1500 * MS;
-    private double lost, stale, crowding = 0.33, again = 0.5, usual = USUAL_LAT;
+    private double lost, stale, crowding = 0.33, usual = USUAL_LAT;
 
     private void sicken(int at, boolean ran) {
         if (sickSince[at] < 0) {
@@ -853,7 +851,6 @@
         r.left = left >= 0 ? left : r.left;
         if (outcome == FULL) {
             if (!call.learnt) {
-                again -= r.fulls > 0 ? 0.1 * again : 0;
                 refused(r, call, wait);
             }
             if (call.generation == d.generation) {
