--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -489,7 +489,7 @@
     // ---- Pace
 
     private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5;
-    private static final double PACE_START = 1.2, LENT = 0.05, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 3;
+    private static final double PACE_START = 1.2, LENT = 0.05, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 8;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
