--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -142,7 +142,7 @@
         halving = s.halving;
         zone = s.zone;
         crossing = s.crossingPrice;
-        handshakePrice = s.handshakePrice;
+        handshakePrice = s.handshakePrice / 4;
         fees = s.fees.clone();
         ratesListed = s.listTellsRate;
         rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
