--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -121,7 +121,7 @@
     private final int zone;
     private final double[] fees;
     private final boolean halving, ratesListed, mayCancel;
-    private final double crossing, handshakePrice, rateDoubt, coldFrom, coldMultiple;
+    private final double crossing, rateDoubt, coldFrom, coldMultiple;
     private final long pauseLimit, coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
@@ -142,7 +142,6 @@
         halving = s.halving;
         zone = s.zone;
         crossing = s.crossingPrice;
-        handshakePrice = s.handshakePrice / 4;
         fees = s.fees.clone();
         ratesListed = s.listTellsRate;
         rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
@@ -429,7 +428,7 @@
     private double[] lat = {}, spread = {}, gap = {}, ill = {}, credit = {}, turnOf = {}, budget = {};
     private boolean[] mayHaveRun = {}, listNamed = {};
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
-    private long[] idleSince = {}, trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
+    private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
     /** Costs, as a part of an envelope's revenue, that halve an endpoint's turns. */
     private static final double HALVES = 0.006;
@@ -449,11 +448,10 @@
         return best;
     }
 
-    /** A crossing between zones, a route's fee and a new connection take from an endpoint's turns as from the result. */
+    /** A crossing between zones, and a route's fee, take from the turns of an endpoint as from the result. */
     private double dearness(int at) {
         boolean isApart = routeOf[at] != ownerOf[at].shared;
-        double handshake = calls[at] == 0 && now - idleSince[at] < idleFor ? 0 : handshakePrice;
-        return 1 + (handshake + (zoneOf[at] == zone ? 0 : crossing) + (isApart && zoneOf[at] < fees.length ? fees[zoneOf[at]] : 0))
+        return 1 + ((zoneOf[at] == zone ? 0 : crossing) + (isApart && zoneOf[at] < fees.length ? fees[zoneOf[at]] : 0))
             / HALVES;
     }
 
@@ -842,14 +840,12 @@
             calls[at]--;
             callsOut.remove(call);
         }
-        idleSince[at] = outcome == FULFILLED ? now : idleSince[at];
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
             && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
             // one that would hardly be used again before it closes by itself only keeps others out. Tables of
             // one kind are alike, and a relay with an idle one never meets the failure that it causes.
             out.close(at);
-            idleSince[at] = -NEVER;
         }
         r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
         r.left = left >= 0 ? left : r.left;
@@ -915,7 +911,7 @@
             credit[at] = 3;
             sickSince[at] = backSince[at] = -1;
             callCap[at] = NO_CAP;
-            crowdedAt[at] = idleSince[at] = -NEVER;
+            crowdedAt[at] = -NEVER;
             lastSend[at] = -1;
             phase[at] = GONE;
             ownerOf[at] = d;
@@ -989,7 +985,7 @@
         sentLast = copyOf(sentLast, size); lastSend = copyOf(lastSend, size);
         mayHaveRun = copyOf(mayHaveRun, size); lastAnswer = copyOf(lastAnswer, size);
         sickSince = copyOf(sickSince, size); backSince = copyOf(backSince, size);
-        trialAt = copyOf(trialAt, size); idleSince = copyOf(idleSince, size); budgetAt = copyOf(budgetAt, size);
+        trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size);
         crowdedAt = copyOf(crowdedAt, size); listNamed = copyOf(listNamed, size);
         listenAt = copyOf(listenAt, size); ownerOf = copyOf(ownerOf, size);
     }
--- a/decisions/src/main/java/yewpath/Settings.java
+++ b/decisions/src/main/java/yewpath/Settings.java
@@ -34,8 +34,6 @@
     /** The zone this relay stands in, and what a shot into another costs as a part of an envelope's revenue. */
     public int zone;
     public double crossingPrice;
-    /** What a new connection costs as a part of an envelope's revenue. */
-    public double handshakePrice;
     /** By zone: what a route apart there takes for an envelope, as a part of its revenue. */
     public double[] fees = {};
     public long answerSlack;
--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -69,7 +69,6 @@
             throw new Malformed("locality: no such name in zones: " + locality);
         }
         s.crossingPrice = locality == null ? 0 : part("prices.cross_zone", pairs.get("prices.cross_zone"));
-        s.handshakePrice = part("prices.handshake", pairs.get("prices.handshake"));
         String[] fees = list("family_info.carriage");
         asMany("family_info.carriage", fees, "zones", list("zones"));
         s.fees = new double[fees.length];
