A connection that served a key is left open, as more of its session will come

Line: settled(), gap[at] > idleFor, which a session's first calls meet. Now not for an envelope with a key; full tables still close.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -841,7 +841,7 @@
             callsOut.remove(call);
         }
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
-            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR || gap[at] > idleFor && d.held == 0)) {
+            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR || gap[at] > idleFor && d.held == 0 && e.line == null)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
             // one that would hardly be used again before it closes by itself only keeps others out. Tables of
             // one kind are alike, and a relay with an idle one never meets the failure that it causes.
