--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -281,10 +281,10 @@
     private void shed() {
         Destination most = holding.stream()
             .max(Comparator.comparing(this::isSick).thenComparingInt(d -> d.open)).orElse(null);
-        Envelope behind = most == null ? null : lastBehind(most), least = behind;
-        for (int i = 0; most != null && behind == null && i < most.lines.size(); i++) {
+        Envelope least = most == null ? null : lastBehind(most);
+        for (int i = 0; most != null && i < most.lines.size(); i++) {
             Envelope e = end(most.lines.get(i), i % 2 == 1);
-            least = e == null || least != null && worth(e, now + SECOND) > worth(least, now + SECOND)
+            least = e == null || least != null && worth(e, now + SECOND) >= worth(least, now + SECOND)
                 ? least : e;
         }
         if (least != null) {
