--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -275,8 +275,8 @@
     }
 
     /**
-     * The hold is nearly full: what one destination can't take must not keep out the others' envelopes. Those that
-     * wait behind another of their key count too, and the newest of them has the least to hope for.
+     * The hold is nearly full: what one destination can't take must not keep out the others' envelopes. Those
+     * that wait behind another of their key count too, and the newest of them has the least to hope for.
      */
     private void shed() {
         Destination most = holding.stream()
@@ -424,7 +424,8 @@
     private Route[] routeOf = {};
     private Destination[] ownerOf = {};
     private final long[] kindCrowdedAt;
-    private int[] kindOf = {}, zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {}, backCap = {};
+    private int[] kindOf = {}, zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {};
+    private int[] backCap = {};
     private double[] lat = {}, spread = {}, gap = {}, ill = {}, credit = {}, turnOf = {}, budget = {};
     private boolean[] mayHaveRun = {}, listNamed = {};
     private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
@@ -450,9 +451,8 @@
 
     /** A crossing between zones, and a route's fee, take from the turns of an endpoint as from the result. */
     private double dearness(int at) {
-        boolean isApart = routeOf[at] != ownerOf[at].shared;
-        return 1 + ((zoneOf[at] == zone ? 0 : crossing) + (isApart && zoneOf[at] < fees.length ? fees[zoneOf[at]] : 0))
-            / HALVES;
+        boolean hasFee = routeOf[at] != ownerOf[at].shared && zoneOf[at] < fees.length;
+        return 1 + ((zoneOf[at] == zone ? 0 : crossing) + (hasFee ? fees[zoneOf[at]] : 0)) / HALVES;
     }
 
     /** When this endpoint may have a call as far as time decides; NEVER where only an answer can tell. */
@@ -496,8 +496,8 @@
     }
 
     /**
-     * Calls a second a route takes from all relays, roughly. Where nothing is told or listed, what this relay is
-     * asked for there stands in, with the mean over all destinations as one envelope's worth of doubt.
+     * Calls a second a route takes from all relays, roughly. Where nothing is told or listed, what this relay
+     * is asked for there stands in, with the mean over all destinations as one envelope's worth of doubt.
      */
     private double sizeOf(Route r) {
         double known = rateOf(r);
@@ -572,8 +572,8 @@
     private void learn(Call call, int outcome, long elapsed) {
         int at = call.endpoint;
         // Guards against connections that the other side closed unseen: a reset at once on a kept one tells
-        // nothing of health, and where these are not rare, new connections cost less. Not every caller can tell a
-        // kept connection from a new one, so the time tells: a round trip, well under an answer's.
+        // nothing of health, and where these are not rare, new connections cost less. Not every caller can
+        // tell a kept connection from a new one, so the time tells: a round trip, well under an answer's.
         boolean inVain = (outcome == STALE || outcome == BROKEN) && elapsed < lat[at] / 2;
         stale += inVain ? 0.06 * (1 - stale) : 0;
         if (inVain || outcome == CANCELLED || outcome == MOOT) {
@@ -582,7 +582,6 @@
         if (outcome == FULFILLED || outcome == FULL) {
             lastAnswer[at] = now;
             credit[at] = min(CREDIT_MOST, credit[at] + (outcome == FULL ? 1 : CREDIT_GAIN));
-            crowding += badRun[at] > 0 && lastBad[at] == UNREACHED ? 0.2 * (1 - crowding) : 0;
         }
         if (outcome == FULL) {
             trialAt[at] = max(trialAt[at], routeOf[at].waitUntil);
@@ -592,7 +591,8 @@
             Route r = routeOf[at];
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
-            double raise = now - r.pressedAt < TICK ? PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace) : 0;
+            double raise = PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace);
+            raise = now - r.pressedAt < TICK ? raise : 0;
             r.pace = min(max(r.pace, rateOf(r)), r.pace + raise);
             if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
                 callCap[at]++;
@@ -627,13 +627,10 @@
         boolean ran = outcome != UNREACHED, turnedAway = !ran && elapsed < connectFor;
         int run = Arrays.stream(call.to.endpoints)
             .map(i -> phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0).sum();
-        crowding *= turnedAway && run > 1 ? 0.9 : 1;
-        run += crowding > 0.3 ? 0 : 1;
         long pause = (long) pauseAfter(sizeOf(routeOf[at]) / max(1, routeOf[at].members), run);
         if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
             // Guards against reading a full connection table, which turns calls away at once, as an outage:
-            // it takes a run of failures over all endpoints. Where answers were seldom seen to follow such
-            // calls it is a crash, and all pause longer.
+            // it takes a run of failures over all endpoints.
             callCap[at] = max(1, min(callCap[at], calls[at]));
             kindCrowdedAt[kindOf[at]] = now;
             call.to.earned = 0;
@@ -662,7 +659,7 @@
     private static final double CREDIT_MOST = 8, CREDIT_GAIN = 0.5, LOSSY = 0.04, USUAL_LAT = 0.5 * SECOND;
     private static final long RENEW_FOR = 30 * SECOND, CROWDED_FOR = 60 * SECOND, SHUT_AFTER = 2500 * MS,
         LONE_TRIAL = 3 * SECOND, HOPELESS = 1500 * MS;
-    private double lost, stale, crowding = 0.33, usual = USUAL_LAT;
+    private double lost, stale, usual = USUAL_LAT;
 
     private void sicken(int at, boolean ran) {
         if (sickSince[at] < 0) {
@@ -703,13 +700,14 @@
     }
 
     /**
-     * Each envelope that comes for what is sick or back earns its part of a call. Who sends there at a moment are a
-     * few relays with much for it, by keys and clumps: an even part over all that may know kept these waiting.
+     * Each envelope that comes for what is sick or back earns its part of a call. Who sends there at a moment
+     * are a few relays with much for it, by keys and clumps: an even part over all kept these waiting.
      */
     private void earn(Destination d) {
         d.earned = min(1, d.earned + coldMultiple * coldFrom);
         for (int at : d.endpoints) {
-            budget[at] += backSince[at] < 0 ? 0 : coldMultiple * warm(now - backSince[at]) / routeOf[at].members;
+            budget[at] += backSince[at] < 0 ? 0
+                : coldMultiple * warm(now - backSince[at]) / routeOf[at].members;
         }
     }
 
@@ -841,7 +839,8 @@
             callsOut.remove(call);
         }
         if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
-            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR || gap[at] > idleFor && d.held == 0 && e.line == null)) {
+            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR
+            || gap[at] > idleFor && d.held == 0 && e.line == null)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
             // one that would hardly be used again before it closes by itself only keeps others out. Tables of
             // one kind are alike, and a relay with an idle one never meets the failure that it causes.
@@ -977,8 +976,9 @@
     }
 
     private void grow(int size) {
-        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); kindOf = copyOf(kindOf, size); phase = copyOf(phase, size);
-        lat = copyOf(lat, size); ill = copyOf(ill, size); gap = copyOf(gap, size);
+        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); kindOf = copyOf(kindOf, size);
+        phase = copyOf(phase, size); lat = copyOf(lat, size);
+        ill = copyOf(ill, size); gap = copyOf(gap, size);
         spread = copyOf(spread, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
         budget = copyOf(budget, size); lastBad = copyOf(lastBad, size); badRun = copyOf(badRun, size);
         calls = copyOf(calls, size); callCap = copyOf(callCap, size); backCap = copyOf(backCap, size);
@@ -1127,7 +1127,8 @@
         calls[at]++;
         callsOut.add(call);
         lat[at] = lastAnswer[at] == 0 ? usual : lat[at];
-        gap[at] = sentLast[at] == 0 ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
+        gap[at] = sentLast[at] == 0
+            ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
             : gap[at] + (now - sentLast[at] < gap[at] ? 0.7 : 0.3) * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
         routeOf[at].tokens--;
