--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -59,7 +59,7 @@
     /** What limit, wait and pace belong to: a destination, or an endpoint where routes are apart. */
     private static final class Route {
         double listed = Double.NaN, told = Double.NaN, pace, left, tokens = 1;
-        long waitUntil, tokensAt, leftAt, pressedAt = -NEVER;
+        long waitUntil, tokensAt, pressedAt = -NEVER;
         int fulls, members;
         final Destination of;
 
@@ -517,9 +517,8 @@
 
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
-        double left = min(1, r.left + (now - r.leftAt) / (4.0 * TICK));
         double own = CATCH_UP * r.of.asked.by(now) * SECOND / MEMORY;
-        return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (left - SPARED))) : r.pace;
+        return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
     }
 
     private void refill(int at) {
@@ -848,7 +847,6 @@
             out.close(at);
         }
         r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
-        r.leftAt = left >= 0 ? now : r.leftAt;
         r.left = left >= 0 ? left : r.left;
         if (outcome == FULL) {
             if (!call.learnt) {
