--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -24,7 +24,7 @@
 
     // The design's own figures: where a window starts and ends, how it is cut and raised, and how often.
     private static final double START = 0.75, CUT = 0.8, RAISE = 1.5;
-    private static final long TICK = SECOND, IDLE = 20 * SECOND, MEMORY = 20 * SECOND;
+    private static final long TICK = SECOND, IDLE = 20 * SECOND;
     // An answer must leave ahead of the expiry: a round lost to a late alarm would lose the envelope.
     private static final long GIVE_UP_AHEAD = 40 * MS;
 
@@ -74,7 +74,7 @@
         private long at;
 
         double by(long now) {
-            sum *= Math.exp((at - now) / (double) MEMORY);
+            sum *= Math.exp((at - now) / (double) IDLE);
             at = now;
             return sum;
         }
@@ -105,7 +105,8 @@
     private boolean listWhole;
     private Envelope[] envelopes = new Envelope[64];
     private final Map<Integer, Destination> destinations = new HashMap<>();
-    private final ArrayList<Destination> holding = new ArrayList<>(), filled = new ArrayList<>();
+    private final Set<Destination> holding = new LinkedHashSet<>();
+    private final ArrayList<Destination> filled = new ArrayList<>();
     private final ArrayDeque<Destination> ready = new ArrayDeque<>();
     private final ArrayList<Call> callsOut = new ArrayList<>();
     private final Map<Integer, KeyLine> keyLines = new HashMap<>();
@@ -117,8 +118,7 @@
     private final Settings.Offering[] offerings;
     private final boolean[] apart;
     private final int[] bundles;
-    private final int slots, cap, sickCap, shotLimit, fillMark, relays;
-    private final int zone;
+    private final int slots, cap, sickCap, shotLimit, fillMark, relays, zone;
     private final double[] fees;
     private final boolean halving, ratesListed, mayCancel;
     private final double crossing, rateDoubt, coldFrom, coldMultiple;
@@ -342,6 +342,7 @@
         open -= e.ended ? 0 : 1;
         if (!e.ended && --e.to.open == 0) {
             holding.remove(e.to);
+            e.to.behind.clear();
         }
         e.ended = true;
     }
@@ -504,7 +505,7 @@
         if (known > 0) {
             return known;
         }
-        double since = MEMORY * (1 - Math.exp((began - now) / (double) MEMORY)) / SECOND;
+        double since = IDLE * (1 - Math.exp((began - now) / (double) IDLE)) / SECOND;
         double each = max(1, askedInAll.by(now)) / destinations.size();
         return relays * (r.of.asked.by(now) + 1) / max(1, since) / (1 + 1 / each)
             / (r == r.of.shared ? 1 : max(1, r.of.endpoints.length));
@@ -517,7 +518,7 @@
 
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
-        double own = CATCH_UP * r.of.asked.by(now) * SECOND / MEMORY;
+        double own = CATCH_UP * r.of.asked.by(now) * SECOND / IDLE;
         return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
     }
 
@@ -707,7 +708,7 @@
         d.earned = min(1, d.earned + coldMultiple * coldFrom);
         for (int at : d.endpoints) {
             budget[at] += backSince[at] < 0 ? 0
-                : coldMultiple * warm(now - backSince[at]) / routeOf[at].members;
+                : coldMultiple * warm(now - backSince[at]) / max(1, routeOf[at].members);
         }
     }
 
--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -68,7 +68,8 @@
         if (locality != null && s.zone < 0) {
             throw new Malformed("locality: no such name in zones: " + locality);
         }
-        s.crossingPrice = locality == null ? 0 : part("prices.cross_zone", pairs.get("prices.cross_zone"));
+        double crossing = part("prices.cross_zone", pairs.get("prices.cross_zone"));
+        s.crossingPrice = locality == null ? 0 : crossing;
         String[] fees = list("family_info.carriage");
         asMany("family_info.carriage", fees, "zones", list("zones"));
         s.fees = new double[fees.length];
--- a/relay/src/test/java/yewpath/SettingsTest.java
+++ b/relay/src/test/java/yewpath/SettingsTest.java
@@ -49,7 +49,7 @@
             {"\"zones\"", "\"locality\": \"moon\", \"zones\"", "locality: no such name in zones: moon"},
             {"\"zones\"", "\"locality\": \"here\", \"prices\": {\"cross_zone\": \"dear\"}, \"zones\"",
                 "prices.cross_zone is not a number: dear"},
-            {"\"zones\"", "\"locality\": \"here\", \"prices\": {\"cross_zone\": -0.1}, \"zones\"",
+            {"\"zones\"", "\"prices\": {\"cross_zone\": -0.1}, \"zones\"",
                 "prices.cross_zone is not from 0 to 1: -0.1"},
             {"\"family_info\": {", "\"family_info\": {\"carriage\": [1.5],", "family_info.carriage.0 is not from 0 to 1: 1.5"},
             {"\"family_info\": {", "\"family_info\": {\"carriage\": [0.1, 0.2],",
