--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -16,6 +16,7 @@
     public int leftColumn = -1;
     public int limitColumn = -1;
     private final Map<String, String> pairs;
+    private final boolean written;
 
     public static Boot ofFields(String[] fields, int first) {
         Map<String, String> pairs = new HashMap<>();
@@ -26,11 +27,16 @@
             }
             pairs.put(fields[i].substring(0, equals), fields[i].substring(equals + 1));
         }
-        return new Boot(pairs);
+        return new Boot(pairs, false);
     }
 
-    public Boot(Map<String, String> pairs) {
+    /**
+     * {@code written}: a file that somebody wrote, whose faults are refused. A wire may well tell what belongs to no
+     * deployment whole, and is taken as it is.
+     */
+    public Boot(Map<String, String> pairs, boolean written) {
         this.pairs = pairs;
+        this.written = written;
         Settings s = settings;
         s.relays = (int) number("balancers");
         s.self = (int) number("ordinal");
@@ -47,7 +53,7 @@
         s.overShare = number("over_share_worth");
         s.tellsPause = yes("limits.retry_after");
         s.pauseLimit = micros("limits.max_retry_after_ms");
-        if (s.pauseLimit < 0) {
+        if (written && s.pauseLimit < 0) {
             throw new Malformed("limits.max_retry_after_ms is below 0: " + pairs.get("limits.max_retry_after_ms"));
         }
         s.refusalPrice = number("family_info.turned_away_price");
@@ -65,7 +71,7 @@
         }
         String locality = pairs.get("locality");
         s.zone = locality == null ? -1 : zones.find(locality);
-        if (locality != null && s.zone < 0) {
+        if (written && locality != null && s.zone < 0) {
             throw new Malformed("locality: no such name in zones: " + locality);
         }
         double crossing = part("prices.cross_zone", pairs.get("prices.cross_zone"));
@@ -127,14 +133,14 @@
             return 0;
         }
         double value = parse(path, told);
-        if (!(value >= 0 && value <= 1)) {
+        if (written && !(value >= 0 && value <= 1)) {
             throw new Malformed(path + " is not from 0 to 1: " + told);
         }
         return value;
     }
 
-    private static void asMany(String path, String[] values, String namesPath, String[] names) {
-        if (values.length > 0 && values.length != names.length) {
+    private void asMany(String path, String[] values, String namesPath, String[] names) {
+        if (written && values.length > 0 && values.length != names.length) {
             throw new Malformed(path + " has " + values.length + " values where " + namesPath + " has " + names.length + " names");
         }
     }
--- a/relay/src/main/java/yewpath/relay/Config.java
+++ b/relay/src/main/java/yewpath/relay/Config.java
@@ -70,7 +70,7 @@
             throw new IllegalArgumentException("seed is not hexadecimal: " + told);
         }
         seed = Long.parseUnsignedLong(told, 16);
-        boot = new Boot(settings);
+        boot = new Boot(settings, true);
         if (boot.settings.offerings.length == 0) {
             throw new IllegalArgumentException("settings name no request_classes");
         }
--- a/relay/src/test/java/yewpath/SettingsTest.java
+++ b/relay/src/test/java/yewpath/SettingsTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import yewpath.boot.Boot;
 import yewpath.relay.Config;
 
 /** The settings that the move brought, in the platform's JSON: taken, at their defaults, or refused by path. */
@@ -43,6 +44,16 @@
         assertEquals(read("\"zones\"", "\"prices\": {\"cross_zone\": 0.03}, \"zones\"").boot.settings.crossingPrice, 0.0);
     }
 
+    /** Guards against a simulator's wire ending the process: there a list may be of another length than the names. */
+    @Test
+    public void areTakenAsTheyAreFromAWire() {
+        Settings told = Boot.ofFields(new String[] {"kinds=a,b", "zones=n,s", "locality=elsewhere", "prices.cross_zone=0.03",
+            "family_info.routes_apart=true,false,false", "family_info.bundle_max=5,1,1", "family_info.carriage=0.1"}, 0).settings;
+        assertEquals(told.routesApart, new boolean[] {true, false});
+        assertEquals(told.zone, -1);
+        assertEquals(told.fees.length, 1);
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
