Reading over: stand-ins opened in one place, one refusal in Boot, one time-out in Logic

Platform.openAmong serves MoveTest, FaultsTest, Demo and Starts, which each wrote it out. Accounts has one handedIn and one waitTold; the forms without a relay were left to a test only, and that a wait binds the relay that was told it has a test of its own now. Boot.refuse holds what four checks each asked of 'written'; zones are split once. Logic: Count adds by itself, the share left costs no exponential where no limit is told, patience and dearest share timeOut (1.5 s or six usual times).

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -73,8 +73,8 @@
         private double sum;
         private long at;
 
-        double by(long now) {
-            sum *= Math.exp((at - now) / (double) IDLE);
+        double by(long now, int more) {
+            sum = sum * Math.exp((at - now) / (double) IDLE) + more;
             at = now;
             return sum;
         }
@@ -190,8 +190,8 @@
         e.expiry = expiry;
         e.agreedAt = expiry - o.expiry() + o.agreed();
         e.to = destination(destination);
-        e.to.asked.sum = e.to.asked.by(now) + 1;
-        askedInAll.sum = askedInAll.by(now) + 1;
+        e.to.asked.by(now, 1);
+        askedInAll.by(now, 1);
         earn(e.to);
         e.giveUpAt = expiry - GIVE_UP_AHEAD;
         e.shots = shots;
@@ -506,8 +506,8 @@
             return known;
         }
         double since = IDLE * (1 - Math.exp((began - now) / (double) IDLE)) / SECOND;
-        double each = max(1, askedInAll.by(now)) / destinations.size();
-        return relays * (r.of.asked.by(now) + 1) / max(1, since) / (1 + 1 / each)
+        double each = max(1, askedInAll.by(now, 0)) / destinations.size();
+        return relays * (r.of.asked.by(now, 0) + 1) / max(1, since) / (1 + 1 / each)
             / (r == r.of.shared ? 1 : max(1, r.of.endpoints.length));
     }
 
@@ -518,8 +518,8 @@
 
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
-        double own = CATCH_UP * r.of.asked.by(now) * SECOND / IDLE;
-        return r.told > 0 ? max(r.pace, min(own, r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
+        return r.told > 0 ? max(r.pace, min(CATCH_UP * r.of.asked.by(now, 0) * SECOND / IDLE,
+            r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
     }
 
     private void refill(int at) {
@@ -751,12 +751,15 @@
     private long patience(Envelope e, int at) {
         // Answers lost one by one, with others at their usual pace around them, won't come; but where whole
         // endpoints stall or queue, a short time-out only adds to their work.
-        long within = (long) (lost > LOSSY ? max(600 * MS, lat[at] + 4 * spread[at])
-            : max(1500 * MS, 6 * lat[at]));
+        long within = lost > LOSSY ? (long) max(600 * MS, lat[at] + 4 * spread[at]) : timeOut(lat[at]);
         // Giving up on a once-only shot gains nothing: the envelope may have run and could not go again.
         return onceOnly(e) || now + within >= e.expiry ? 0 : within;
     }
 
+    private static long timeOut(double usually) {
+        return (long) max(1500 * MS, 6 * usually);
+    }
+
     private void send(Envelope e, Call call) {
         unhold(e);
         int at = call.endpoint;
@@ -1043,7 +1046,7 @@
             long typical = typical(d);
             int line = foremost(d, typical, 0);
             // A trial may keep its slot until it times out.
-            long takes = isSick(d) ? max(HOPELESS, 6 * typical) : typical;
+            long takes = isSick(d) ? timeOut(typical) : typical;
             double gain = line < 0 ? 0 : urgency(head(d, line), typical, horizon(d)) / (takes + 50 * MS);
             if (gain > most) {
                 most = gain;
--- a/lab/src/main/java/yewpath/lab/Starts.java
+++ b/lab/src/main/java/yewpath/lab/Starts.java
@@ -84,16 +84,10 @@
                 endpoints.add(new Endpoint(reactor, accounts, "e" + i, i, "plain", rate, "0 s: answer 200 after 5 ms", chance.split(),
                     platform::tell));
             }
-            reactor.call(() -> {
-                for (Endpoint one : endpoints) {
-                    one.open();
-                }
-                platform.open(0);
-                return null;
-            });
+            String discovery = platform.openAmong(endpoints);
             InetSocketAddress at = freeAddress();
             Path config = folder.resolve("config.json");
-            RelayConfig.write(config, at, "127.0.0.1:" + platform.address().getPort(), folder.resolve("state"),
+            RelayConfig.write(config, at, discovery, folder.resolve("state"),
                 List.of(new RelayConfig.Offering("status", "pure", false, 2_000, 8_000)), RelayConfig.Told.USUAL);
             ProcessBuilder builder = new ProcessBuilder("sh", "deploy/run.sh").directory(checkout.toFile())
                 .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -53,9 +53,7 @@
         s.overShare = number("over_share_worth");
         s.tellsPause = yes("limits.retry_after");
         s.pauseLimit = micros("limits.max_retry_after_ms");
-        if (written && s.pauseLimit < 0) {
-            throw new Malformed("limits.max_retry_after_ms is below 0: " + pairs.get("limits.max_retry_after_ms"));
-        }
+        refuse(s.pauseLimit < 0, "limits.max_retry_after_ms is below 0: " + pairs.get("limits.max_retry_after_ms"));
         s.refusalPrice = number("family_info.turned_away_price");
         s.answerSlack = micros("rules.answer_slack_ms");
         s.askEvery = micros("rules.ask_every_ms");
@@ -66,18 +64,17 @@
         s.settleAfterDoubt = micros("rules.settle_after_doubt_ms");
         s.connectTimeout = micros("limits.connect_timeout_ms");
         s.connectionIdle = micros("limits.conn_idle_ms");
-        for (String zone : list("zones")) {
+        String[] zoneNames = list("zones");
+        for (String zone : zoneNames) {
             zones.of(zone);
         }
         String locality = pairs.get("locality");
         s.zone = locality == null ? -1 : zones.find(locality);
-        if (written && locality != null && s.zone < 0) {
-            throw new Malformed("locality: no such name in zones: " + locality);
-        }
+        refuse(locality != null && s.zone < 0, "locality: no such name in zones: " + locality);
         double crossing = part("prices.cross_zone", pairs.get("prices.cross_zone"));
         s.crossingPrice = locality == null ? 0 : crossing;
         String[] fees = list("family_info.carriage");
-        asMany("family_info.carriage", fees, "zones", list("zones"));
+        asMany("family_info.carriage", fees, "zones", zoneNames);
         s.fees = new double[fees.length];
         for (int i = 0; i < fees.length; i++) {
             s.fees[i] = part("family_info.carriage." + i, fees[i]);
@@ -133,15 +130,18 @@
             return 0;
         }
         double value = parse(path, told);
-        if (written && !(value >= 0 && value <= 1)) {
-            throw new Malformed(path + " is not from 0 to 1: " + told);
-        }
+        refuse(!(value >= 0 && value <= 1), path + " is not from 0 to 1: " + told);
         return value;
     }
 
     private void asMany(String path, String[] values, String namesPath, String[] names) {
-        if (written && values.length > 0 && values.length != names.length) {
-            throw new Malformed(path + " has " + values.length + " values where " + namesPath + " has " + names.length + " names");
+        refuse(values.length > 0 && values.length != names.length,
+            path + " has " + values.length + " values where " + namesPath + " has " + names.length + " names");
+    }
+
+    private void refuse(boolean wrong, String fault) {
+        if (written && wrong) {
+            throw new Malformed(fault);
         }
     }
 
--- a/relay/src/test/java/yewpath/FaultsTest.java
+++ b/relay/src/test/java/yewpath/FaultsTest.java
@@ -85,15 +85,9 @@
     }
 
     private void play(long length, int killAfterMs) throws Exception {
-        reactor.call(() -> {
-            for (Endpoint one : endpoints) {
-                one.open();
-            }
-            platform.open(0);
-            return null;
-        });
+        String at = platform.openAmong(endpoints);
         List<String> command = new ArrayList<>(Stand.yewpath().command());
-        try (RelayProcess relay = new RelayProcess(command, "127.0.0.1:" + platform.address().getPort(), 0, OFFERINGS,
+        try (RelayProcess relay = new RelayProcess(command, at, 0, OFFERINGS,
             RelayConfig.Told.USUAL, List.of())) {
             Client client = new Client(reactor, accounts, relay.address);
             reactor.run(() -> {
--- a/relay/src/test/java/yewpath/MoveTest.java
+++ b/relay/src/test/java/yewpath/MoveTest.java
@@ -51,14 +51,7 @@
         endpoint("near", 2, 200, "south", "0 s: answer 200 after 5 ms to 15 ms", platform);
         endpoint("far", 2, 200, "north", "0 s: answer 200 after 5 ms to 15 ms\n3 s: drain", platform);
         endpoint("returning", 3, 60, "south", "0 s: answer 200 after 5 ms to 15 ms\n1500 ms - 3 s: refuse", platform);
-        reactor.call(() -> {
-            for (Endpoint one : endpoints) {
-                one.open();
-            }
-            platform.open(0);
-            return null;
-        });
-        String at = "127.0.0.1:" + platform.address().getPort();
+        String at = platform.openAmong(endpoints);
         List<String> command = Stand.yewpath().command();
         Shape shape = new Shape("none", List.of("north", "south"), List.of(0.06, 0.0), "south", 0.03);
         try (RelayProcess old = new RelayProcess(command, at, 0, OFFERINGS, OLD, List.of());
--- a/standins/src/main/java/yewpath/standins/demo/Demo.java
+++ b/standins/src/main/java/yewpath/standins/demo/Demo.java
@@ -59,14 +59,7 @@
 
     /** Returns the exit code: 0, or 1 where a rule was broken or the relay did not end as it should. */
     int run(List<String> command, int rate, int port, boolean stay) throws IOException, InterruptedException {
-        reactor.call(() -> {
-            for (Endpoint one : endpoints) {
-                one.open();
-            }
-            platform.open(0);
-            return null;
-        });
-        String at = "127.0.0.1:" + platform.address().getPort();
+        String at = platform.openAmong(endpoints);
         say.println("starting a relay among " + endpoints.size() + " endpoints of 4 destinations, discovery at " + at);
         int code;
         try (RelayProcess relay = new RelayProcess(command, at, port, OFFERINGS, RelayConfig.Told.USUAL, List.of())) {
--- a/standins/src/main/java/yewpath/standins/peer/Endpoint.java
+++ b/standins/src/main/java/yewpath/standins/peer/Endpoint.java
@@ -235,7 +235,7 @@
             List<String> over = ended(mine.status() == 200, now);
             refusals += mine.status() == 429 ? 1 : 0;
             if (mine.pause() > 0) {
-                accounts.waitToldFor(over.isEmpty() ? "" : over.get(0), "destination " + destination, mine.pause(), now);
+                accounts.waitTold(over.isEmpty() ? "" : over.get(0), "destination " + destination, mine.pause(), now);
                 wire.write(Message.answer(mine.status(), "Retry-After: " + mine.pause() / 1e6));
             } else if (bulk && mine.status() == 200) {
                 wire.write(Message.bytes("HTTP/1.1 200 -", allDone(over)));
--- a/standins/src/main/java/yewpath/standins/peer/Platform.java
+++ b/standins/src/main/java/yewpath/standins/peer/Platform.java
@@ -48,6 +48,17 @@
         beat();
     }
 
+    /** Opens the endpoints and then this, at any free port, from any thread but the reactor's; where a relay finds it. */
+    public String openAmong(List<Endpoint> all) {
+        return reactor.call(() -> {
+            for (Endpoint one : all) {
+                one.open();
+            }
+            open(0);
+            return "127.0.0.1:" + address().getPort();
+        });
+    }
+
     public InetSocketAddress address() {
         return port.address();
     }
--- a/standins/src/main/java/yewpath/standins/referee/Accounts.java
+++ b/standins/src/main/java/yewpath/standins/referee/Accounts.java
@@ -75,11 +75,7 @@
         this.slack = slack;
     }
 
-    public void handedIn(String id, String offering, Kind kind, long at, long within) {
-        handedIn(id, offering, "", kind, at, within);
-    }
-
-    /** Where several relays serve: {@code relay} tells them apart. */
+    /** {@code relay} tells several apart. */
     public void handedIn(String id, String offering, String relay, Kind kind, long at, long within) {
         accounts.put(id, new Account(id, offering, relay, kind, at, at + within));
     }
@@ -163,21 +159,13 @@
         one.besideSince = -1;
     }
 
-    public void waitTold(String where, long length, long at) {
-        waitTold("", where, length, at);
-    }
-
     /** Told in the answer for this envelope, and so to the relay that has it. */
-    public void waitToldFor(String id, String where, long length, long at) {
+    public void waitTold(String id, String where, long length, long at) {
         Account one = accounts.get(id);
-        waitTold(one == null ? "" : one.relay, where, length, at);
-    }
-
-    private void waitTold(String relay, String place, long length, long at) {
-        String where = relay + " " + place;
-        if (at + length > waits.getOrDefault(where, 0L)) {
-            waits.put(where, at + length);
-            waitLengths.put(where, length);
+        String told = (one == null ? "" : one.relay) + " " + where;
+        if (at + length > waits.getOrDefault(told, 0L)) {
+            waits.put(told, at + length);
+            waitLengths.put(told, length);
         }
     }
 
--- a/standins/src/test/java/yewpath/standins/AccountsTest.java
+++ b/standins/src/test/java/yewpath/standins/AccountsTest.java
@@ -17,9 +17,9 @@
     @BeforeMethod
     public void taken() {
         accounts = new Accounts(1_000 * MS, 50 * MS);
-        accounts.handedIn("r", "status", Kind.REPEATABLE, 0, 2_000 * MS);
-        accounts.handedIn("t", "serial", Kind.TAGGED, 0, 2_000 * MS);
-        accounts.handedIn("o", "order", Kind.ONCE_ONLY, 0, 2_000 * MS);
+        accounts.handedIn("r", "status", "relay", Kind.REPEATABLE, 0, 2_000 * MS);
+        accounts.handedIn("t", "serial", "relay", Kind.TAGGED, 0, 2_000 * MS);
+        accounts.handedIn("o", "order", "relay", Kind.ONCE_ONLY, 0, 2_000 * MS);
         for (String id : new String[] {"r", "t", "o"}) {
             accounts.answered(id, 202, 1 * MS);
         }
@@ -57,7 +57,7 @@
 
     @Test
     public void whatWasRefusedIsNotOwed() {
-        accounts.handedIn("x", "status", Kind.REPEATABLE, 0, 10 * MS);
+        accounts.handedIn("x", "status", "relay", Kind.REPEATABLE, 0, 10 * MS);
         accounts.answered("x", 503, 1 * MS);
         assertEquals(accounts.open(), 3);
         assertEquals(end("x"), End.DEFERRED);
@@ -109,7 +109,7 @@
 
     @Test
     public void aToldWaitBindsEveryEnvelopeOfItsRoute() {
-        accounts.waitTold("d", 1_000 * MS, 100 * MS);
+        accounts.waitTold("r", "d", 1_000 * MS, 100 * MS);
         accounts.arrived("r", "e", "d", 200 * MS, 240 * MS);
         accounts.arrived("t", "e", "other", 300 * MS, 300 * MS);
         broken();
@@ -120,6 +120,14 @@
         assertEquals(accounts.broken().size(), 1);
     }
 
+    @Test
+    public void aWaitBindsTheRelayThatWasTold() {
+        accounts.handedIn("other", "status", "another relay", Kind.REPEATABLE, 0, 2_000 * MS);
+        accounts.waitTold("r", "d", 1_000 * MS, 100 * MS);
+        accounts.arrived("other", "e", "d", 300 * MS, 300 * MS);
+        broken();
+    }
+
     @Test
     public void aOnceOnlyEnvelopeThatRanIsNotHandedBack() {
         accounts.notice("o", true, 0, 10 * MS);
@@ -127,7 +135,7 @@
         call("t", 10 * MS, false);
         accounts.notice("t", true, 0, 20 * MS);
         broken();
-        accounts.handedIn("p", "order", Kind.ONCE_ONLY, 0, 2_000 * MS);
+        accounts.handedIn("p", "order", "relay", Kind.ONCE_ONLY, 0, 2_000 * MS);
         call("p", 10 * MS, false);
         accounts.notice("p", true, 0, 20 * MS);
         accounts.notice("nobody", false, 0, 20 * MS);
