A closing relay goes once no client is left whose request it may have read

Lines: Closing.watch counts down by time and calls alone, and Serve.end halts; what is unread in a socket, completed by the system and not accepted, gathered for the next round, or answered and not yet read is reset with the process.

Now the end has stages, each left on a condition: REFUSING until closing.least; FINISHING, where connections at rest are closed after a last look and who meant to use one can still come anew, until no call is out and no shot can begin; SHUTTING, where whom the system had connected is let in (the thread that accepts is woken and asked for its count, which comes after all that it let in), the listener closes, and each request under way has its answer; then GONE. The bound is closing.most and 0.2 s, as documented. A connection's end waits for what is still to be written. Signals are heard from the first line of the program: SIGHUP during a start is played at its end, SIGTERM has its orderly end before the door opens.

Two more found by reading, each with a test seen red on the text before: - a watch's head alone counted as discovery's first word, so where its first line came apart a restored envelope went to an endpoint that had begun to drain (whatIsRestoredWaitsForTheListOfNow failed by chance, now always, 2 calls for 1). Now a line, or endpoints.answer_rest after the head. - Notices.move left a running pause, up to 1 s, as it was (aNoticeInAPauseGoesAtOnceWhereDiscoveryMoves). ClosingTest (real sockets, a process held still while its end comes due: 50 connections resting, fresh and half-way) fails on the text before with Connection reset; AskedTest holds the signals. RestartTest, IntakeTest, ReloadTest, ArchitectureTest green.

--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -12,6 +12,7 @@
 import yewpath.operator.Operator;
 import yewpath.operator.OperatorFile;
 import yewpath.operator.Reference;
+import yewpath.relay.Asked;
 import yewpath.relay.Check;
 import yewpath.relay.Config;
 import yewpath.relay.Serve;
@@ -74,6 +75,9 @@
     private Main() { }
 
     public static void main(String[] args) throws Exception {
+        boolean serves = args.length > 0 && args[0].equals("serve");
+        // Ahead of all that takes time.
+        Asked signals = serves ? Asked.listen() : null;
         Main main = new Main();
         ServeWord serve = new ServeWord();
         CheckWord check = new CheckWord();
@@ -83,7 +87,7 @@
         ConfigKeysWord configKeys = new ConfigKeysWord();
         JCommander line = JCommander.newBuilder().programName("yewpath").addObject(main).addCommand("serve", serve).build();
         // Each further word costs a start some reading of its annotations: a relay that comes back needs one.
-        if (args.length == 0 || !args[0].equals("serve")) {
+        if (!serves) {
             line.addCommand("check", check);
             line.addCommand("config", new ConfigWord());
             line.addCommand("events", events);
@@ -111,7 +115,7 @@
             fail("a command is missing (yewpath --help lists them)");
         }
         switch (line.getParsedCommand()) {
-            case "serve" -> serve(serve);
+            case "serve" -> serve(serve, signals);
             case "check" -> check(check);
             case "config" -> {
                 JCommander config = line.getCommands().get("config");
@@ -145,9 +149,9 @@
         return null;
     }
 
-    private static void serve(Told told) throws InterruptedException {
+    private static void serve(Told told, Asked signals) throws InterruptedException {
         try {
-            Serve.start(Config.read(told.config, told.operator, System.getenv()));
+            Serve.start(Config.read(told.config, told.operator, System.getenv()), signals);
         } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
         }
--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -23,6 +23,7 @@
     private Loop.Timer again;
     private long backoff;
     private boolean answered;
+    private boolean answering;
 
     /** {@code failed} hears that a watch or a fetch has ended; it may be null where nobody asks by itself. */
     public Watch(Loop loop, Limits limits, InetSocketAddress discovery, long version, Listing.Hearer hearer,
@@ -76,9 +77,10 @@
                     quiet[0].callOff();
                     quiet[0] = loop.after(limits.watchSilence(), asked::close);
                     lines(answer.takeBody(), line, asked);
-                    if (!answered) {
-                        // In the round after what came with it: where nothing has changed, nothing more comes.
-                        loop.gather(() -> answered = true);
+                    if (!answering) {
+                        // Where nothing has changed no line follows the head; where something has, it may be apart.
+                        answering = true;
+                        loop.after(limits.answerRest(), Watch.this::hasNews);
                     }
                 }
             }
@@ -121,6 +123,7 @@
         byte[] bytes = line.toByteArray();
         line.reset();
         if (new String(bytes, StandardCharsets.ISO_8859_1).isBlank()) {
+            hasNews();
             return;
         }
         try {
@@ -130,11 +133,19 @@
                 version = list.version;
                 backoff = 0;
             });
+            hasNews();
         } catch (IllegalArgumentException garbled) {
             resync(garbled);
         }
     }
 
+    /** In the round that has played what there was to tell. */
+    private void hasNews() {
+        if (!answered) {
+            loop.gather(() -> answered = true);
+        }
+    }
+
     /** What was missed comes again: the watch is taken up anew from the last version understood. */
     private void resync(IllegalArgumentException garbled) {
         Log.tell(Event.DIRECTORY_GARBLED, garbled.getMessage());
--- a/relay/src/main/java/yewpath/http/Link.java
+++ b/relay/src/main/java/yewpath/http/Link.java
@@ -24,6 +24,7 @@
     private Owner owner;
     private boolean closed;
     private boolean ended;
+    private boolean endsSending;
 
     public Link(StreamConnection connection, int ringFirst, int ringMost, Owner owner) {
         this.connection = connection;
@@ -108,6 +109,9 @@
             while (out.size() > 0 && out.drain(sink) > 0) {
                 continue;
             }
+            if (out.size() == 0 && endsSending) {
+                sink.shutdownWrites();
+            }
             if (out.size() == 0 && sink.flush()) {
                 sink.suspendWrites();
             } else {
@@ -122,12 +126,16 @@
         return out.size() == 0;
     }
 
+    /** Tells the other side that nothing more comes, once all that waits has been written. */
     public void endSending() {
-        try {
-            sink.shutdownWrites();
-            sink.flush();
-        } catch (IOException e) {
-            fail();
+        endsSending = true;
+        flush();
+    }
+
+    /** Reads what has come by now, without waiting to be told of it. */
+    public void look() {
+        if (!closed && !ended && !in.isFull()) {
+            readable();
         }
     }
 
--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/Door.java
@@ -5,11 +5,13 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.management.XnioServerMXBean;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.loop.Limits;
@@ -21,7 +23,9 @@
     private final Limits limits;
     private final Desk desk;
     private final Set<Visit> visits = new LinkedHashSet<>();
+    private XnioWorker worker;
     private AcceptingChannel<StreamConnection> listener;
+    private boolean shut;
 
     public Door(Loop loop, Limits limits, Desk desk) {
         this.loop = loop;
@@ -29,7 +33,8 @@
         this.desk = desk;
     }
 
-    public InetSocketAddress open(XnioWorker worker, InetSocketAddress at) throws IOException {
+    public InetSocketAddress open(XnioWorker by, InetSocketAddress at) throws IOException {
+        worker = by;
         listener = worker.createStreamConnectionServer(at, this::accept, OptionMap.builder()
             .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, limits.backlog())
             // Guards against a rush of connects using up all descriptors before one of them could be closed again.
@@ -43,9 +48,7 @@
     private void accept(AcceptingChannel<StreamConnection> from) {
         try {
             for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
-                StreamConnection connection = c;
-                // Visits belong to the I/O thread, whichever thread accepts.
-                loop.thread().execute(() -> enter(connection));
+                enter(c);
             }
         } catch (IOException e) {
             Log.tell(Event.CLIENT_ACCEPT_FAILED, e.getMessage());
@@ -77,6 +80,45 @@
         }
     }
 
+    /** Ends the connections that rest between two requests; the others have their answer first. */
+    public void endResting() {
+        long now = loop.now();
+        new ArrayList<>(visits).forEach(visit -> visit.endIfResting(now));
+    }
+
+    /**
+     * Lets in whom the system has already connected, and listens no longer. Guards against those: ended with the
+     * listener, their connections would be reset with their requests unread. The thread that accepts does so when
+     * woken, and is asked for its count after that; what it answers comes later than all that it has let in.
+     */
+    public void shut() {
+        listener.wakeupAccepts();
+        worker.execute(() -> {
+            worker.getMXBean().getServerMXBeans().forEach(XnioServerMXBean::getConnectionCount);
+            loop.thread().execute(this::listenNoMore);
+        });
+    }
+
+    private void listenNoMore() {
+        if (visits.size() >= limits.clientLinks()) {
+            // Full, it let in only some: as soon as one has left, the next.
+            loop.after(limits.sweepEvery() / 10, this::shut);
+            return;
+        }
+        IoUtils.safeClose(listener);
+        shut = true;
+    }
+
+    /** Whether nobody is left and nobody can come. */
+    public boolean isEmpty() {
+        return shut && visits.isEmpty();
+    }
+
+    /** Ends all but those whose answer is due, whatever they wait for. */
+    public void endAll() {
+        new ArrayList<>(visits).forEach(Visit::end);
+    }
+
     private void sweep() {
         long now = loop.now();
         for (Visit visit : new ArrayList<>(visits)) {
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -76,6 +76,32 @@
         }
     }
 
+    /**
+     * Ends a connection on which nothing is under way, after a last look: a client whose request this closing crosses
+     * knows that it was not read, and sends it once more. One that only just connected is given time to speak.
+     */
+    void endIfResting(long now) {
+        if (!asked && now - connectedAt < limits.speechWithin()) {
+            return;
+        }
+        link.look();
+        if (!leaving && !link.isClosed() && isBetween()) {
+            close();
+        }
+    }
+
+    /** The last that is done for it: what it has sent a part of is refused. One whose answer is due has it in the next round. */
+    void end() {
+        link.look();
+        if (answering) {
+            return;
+        }
+        if (!leaving && !link.isClosed() && !isBetween()) {
+            refuse(503);
+        }
+        close();
+    }
+
     @Override
     public void came() {
         if (leaving) {
@@ -212,9 +238,7 @@
         leaving = true;
         since = loop.now();
         link.in.skip(link.in.size());
-        if (!link.isClosed() && link.allWritten()) {
-            link.endSending();
-        }
+        link.endSending();
         link.readOn();
     }
 }
--- a/relay/src/main/java/yewpath/loop/Limits.java
+++ b/relay/src/main/java/yewpath/loop/Limits.java
@@ -202,6 +202,11 @@
         return now.drainMost;
     }
 
+    /** When a closing relay goes whatever is left: what it waits for last has its end, and the kill is not yet near. */
+    public long drainBound() {
+        return now.drainMost + SECOND / 5;
+    }
+
     public long drainLeast() {
         return now.drainLeast;
     }
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -26,6 +26,7 @@
     private final ArrayDeque<Entry> owed = new ArrayDeque<>();
     private Caller caller;
     private boolean busy;
+    private Loop.Timer pause;
     private long backoff;
     private int atOnce;
 
@@ -42,13 +43,20 @@
         next();
     }
 
-    /** What has no answer yet goes again, to the new address: hearing of an end twice does no harm. */
+    /**
+     * What has no answer yet goes again, to the new address: hearing of an end twice does no harm. It goes at once: a
+     * pause begun at the old address, or one that closing the connection there brings, is no reason for it to be late.
+     */
     public void move(InetSocketAddress address) {
         platform = address;
         if (caller != null) {
-            backoff = 0;
             caller.close();
         }
+        backoff = 0;
+        if (pause != null) {
+            pause.callOff();
+            goOn();
+        }
     }
 
     public int owed() {
@@ -129,9 +137,12 @@
         }
         backoff = Math.min(limits.retryMost(), Math.max(limits.retryFirst(), 2 * backoff));
         Log.tell(Event.NOTICE_UNHEARD, batch.size(), backoff / 1000);
-        loop.after(backoff, () -> {
-            busy = false;
-            next();
-        });
+        pause = loop.after(backoff, this::goOn);
+    }
+
+    private void goOn() {
+        pause = null;
+        busy = false;
+        next();
     }
 }
--- a/relay/src/main/java/yewpath/relay/Closing.java
+++ b/relay/src/main/java/yewpath/relay/Closing.java
@@ -2,14 +2,34 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
+import yewpath.intake.Door;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
-/** The last seconds of a relay that was asked to end. */
+/**
+ * The end of a relay, stage by stage. The process goes only once no client is left whose request it may have read, or
+ * at the bound ahead of the kill: a connection that ends with the process is reset, whatever lies in it.
+ */
 final class Closing {
+    /** In this order, none twice. */
+    private enum Stage {
+        SERVING,
+        /** New envelopes are refused, calls go on. Clients still connect as if nothing were; left after closing.least. */
+        REFUSING,
+        /**
+         * Connections at rest are closed while others may still come: who meant to use one comes on a new one. Left
+         * when no call is out and no shot can begin, or after closing.most.
+         */
+        FINISHING,
+        /** Who has connected is let in, nobody after that; left when each has had its answer and gone, or at the bound. */
+        SHUTTING,
+        GONE
+    }
+
     private final Loop loop;
     private final Limits limits;
-    private long since = -1;
+    private Stage stage = Stage.SERVING;
+    private long since;
 
     Closing(Loop loop, Limits limits) {
         this.loop = loop;
@@ -17,31 +37,55 @@
     }
 
     boolean hasBegun() {
-        return since >= 0;
+        return stage != Stage.SERVING;
     }
 
     /** Late in closing no shot is begun any more that could not come to its end. */
     boolean mayShoot(long now) {
-        return since < 0 || now - since < limits.drainFresh();
+        return !hasBegun() || now - since < limits.drainFresh();
     }
 
-    /** Goes on until nothing is left to wait for, or as long as may be. */
-    void begin(BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch done) {
-        if (since < 0) {
+    void begin(Door door, BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch gone) {
+        if (!hasBegun()) {
+            stage = Stage.REFUSING;
             since = loop.now();
-            watch(callsOut, held, done);
+            watch(door, callsOut, held, gone);
         }
     }
 
-    private void watch(BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch done) {
+    private void watch(Door door, BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch gone) {
         long now = loop.now();
-        boolean waits = callsOut.getAsBoolean() || held.getAsBoolean() && mayShoot(now);
-        // Clients go on connecting for a moment: each is to be answered.
-        if (now - since >= (waits ? limits.drainMost() : limits.drainLeast())) {
-            done.countDown();
-            return;
+        long beat = limits.drainLeast() / 10;
+        long closingFor = now - since;
+        if (stage != Stage.REFUSING) {
+            door.endResting();
+        }
+        switch (stage) {
+            case REFUSING -> {
+                if (closingFor >= limits.drainLeast()) {
+                    stage = Stage.FINISHING;
+                    door.endResting();
+                }
+            }
+            case FINISHING -> {
+                boolean waits = callsOut.getAsBoolean() || held.getAsBoolean() && mayShoot(now);
+                if (!waits || closingFor >= limits.drainMost()) {
+                    stage = Stage.SHUTTING;
+                    door.shut();
+                }
+            }
+            default -> {
+                if (closingFor >= limits.drainBound() - beat) {
+                    door.endAll();
+                }
+                if (door.isEmpty() || closingFor >= limits.drainBound()) {
+                    stage = Stage.GONE;
+                    gone.countDown();
+                    return;
+                }
+            }
         }
         loop.ask();
-        loop.after(limits.drainLeast() / 10, () -> watch(callsOut, held, done));
+        loop.after(beat, () -> watch(door, callsOut, held, gone));
     }
 }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -17,6 +17,7 @@
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.intake.Desk;
+import yewpath.intake.Door;
 import yewpath.json.Tokens;
 import yewpath.ledger.Entry;
 import yewpath.ledger.Ledger;
@@ -451,9 +452,9 @@
 
     // ---- Closing
 
-    void close(CountDownLatch done) {
+    void close(Door door, CountDownLatch gone) {
         Log.tell(Event.RELAY_CLOSING, envelopes.open(), delivery.callsOut());
-        closing.begin(() -> delivery.callsOut() > 0, () -> envelopes.open() > 0, done);
+        closing.begin(door, () -> delivery.callsOut() > 0, () -> envelopes.open() > 0, gone);
     }
 
     /** The last words, once closing is done. */
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/Serve.java
@@ -9,7 +9,6 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import sun.misc.Signal;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.intake.Door;
@@ -23,7 +22,7 @@
     private Serve() { }
 
     /** Returns where it listens once the relay takes envelopes; it goes on until the process ends. */
-    public static InetSocketAddress start(Config config) throws IOException, InterruptedException {
+    public static InetSocketAddress start(Config config, Asked asked) throws IOException, InterruptedException {
         logAsTold(config.operator);
         Ledger ledger = new Ledger(config.state, config.limits.ledgerLive(), config.limits.ledgerAnew(),
             config.limits.ledgerAside());
@@ -35,13 +34,18 @@
         Exception[] failure = {null};
         Relay[] relay = {null};
         InetSocketAddress[] at = {null};
-        Config[] inForce = {config};
-        Signal.handle(new Signal("HUP"), hangUp -> reload(loop, relay, config, inForce));
         loop.thread().execute(() -> {
             try {
                 relay[0] = new Relay(config, loop, ledger);
-                at[0] = new Door(loop, config.limits, relay[0]).open(worker, config.listen);
+                Door door = new Door(loop, config.limits, relay[0]);
+                // Ahead of the first client: none is met by a process that would end as if it had been killed.
+                if (asked.toEnd(() -> end(loop, relay[0], door, config))) {
+                    at[0] = door.open(worker, config.listen);
+                } else {
+                    failure[0] = new IOException("asked to end before it had begun");
+                }
             } catch (IOException | RuntimeException e) {
+                asked.toEnd(null);
                 failure[0] = e;
             }
             started.countDown();
@@ -51,7 +55,8 @@
             throw new IOException("cannot start: " + failure[0].getMessage(), failure[0]);
         }
         Log.tell(Event.RELAY_STARTED, config.name, at[0], ledger.size(), config.operatorFile);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, relay[0], config)));
+        Config[] inForce = {config};
+        asked.toReload(() -> reload(loop, relay[0], config, inForce));
         return at[0];
     }
 
@@ -61,7 +66,7 @@
     }
 
     /** A new file that cannot be read, of the platform's or the operator's, leaves all as it was. */
-    private static synchronized void reload(Loop loop, Relay[] relay, Config started, Config[] inForce) {
+    private static void reload(Loop loop, Relay relay, Config started, Config[] inForce) {
         Config anew;
         try {
             anew = inForce[0].again();
@@ -73,26 +78,25 @@
         inForce[0] = anew;
         logAsTold(anew.operator);
         loop.thread().execute(() -> {
-            if (relay[0] != null) {
-                started.limits.fill(anew.operator);
-                relay[0].discoveryAt(anew.discovery);
-            }
+            started.limits.fill(anew.operator);
+            relay.discoveryAt(anew.discovery);
         });
         Log.tell(Event.RELAY_RELOADED, anew.discovery, old.operator.changes(anew.operator, true),
             started.operator.changes(anew.operator, false));
     }
 
-    private static void end(Loop loop, Relay relay, Config config) {
-        CountDownLatch quiet = new CountDownLatch(1);
+    private static void end(Loop loop, Relay relay, Door door, Config config) {
+        CountDownLatch gone = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
-        loop.thread().execute(() -> relay.close(quiet));
+        loop.thread().execute(() -> relay.close(door, gone));
         try {
-            quiet.await(config.limits.drainMost() + config.limits.drainLeast() / 4, TimeUnit.MICROSECONDS);
+            long beat = config.limits.drainLeast() / 10;
+            gone.await(config.limits.drainBound() + beat, TimeUnit.MICROSECONDS);
             loop.thread().execute(() -> {
                 relay.closed();
                 closed.countDown();
             });
-            closed.await(config.limits.drainLeast() / 10, TimeUnit.MICROSECONDS);
+            closed.await(beat, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -56,7 +56,7 @@
         until("it is out", 2000, () -> drained.got.size() == 1);
         stand.kill();
         // While no process runs the endpoint drains and another takes its place; discovery is slow to say so.
-        stand.newsAfter = 300;
+        stand.newsAfter = 150;
         stand.news = "{\"version\":2,\"full\":false,\"servers\":["
             + stand.entry("e1", drained.address(), 1, "plain", "draining") + ","
             + stand.entry("e3", other.address(), 1, "plain", "up") + "]}";
@@ -389,6 +389,23 @@
         }
     }
 
+    @Test
+    public void aNoticeInAPauseGoesAtOnceWhereDiscoveryMoves() throws Exception {
+        stand.operator = "[discovery]\nretry_first = \"30 s\"\nretry_most = \"30 s\"\n";
+        stand.endpoint(1, got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+        stand.noticeStatus = 500;
+        stand.start();
+        stand.handIn("n1", "order", 1, 9000);
+        until("its pause has begun", 2000, () -> stand.log().stream().anyMatch(line -> line.contains("notice.unheard")));
+        Stand.Server old = stand.discovery;
+        stand.moveDiscovery();
+        stand.noticeStatus = 204;
+        stand.reload(stand.config());
+        until("it goes to the new address", 3000, () -> stand.ended("n1", "given_up"));
+        assertEquals(old.posts().size(), 1);
+        old.close();
+    }
+
     @Test
     public void theHeapFollowsTheMemoryThatIsConfigured() throws Exception {
         Path java = Files.writeString(stand.folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -184,7 +184,7 @@
     final List<String> notices = new CopyOnWriteArrayList<>();
     /** 0 leaves notices without an answer. */
     volatile int noticeStatus = 204;
-    /** What a watch starts with, and after how many milliseconds; below 0 it never answers. */
+    /** What a watch starts with, and how many milliseconds after its head; below 0 it never answers. */
     volatile String news = "";
     volatile int newsAfter;
     /** Whether a watch brings empty lines where nothing changes. */
@@ -235,10 +235,11 @@
         if (newsAfter < 0) {
             return SILENCE;
         }
-        pause(newsAfter);
         try {
             OutputStream out = discovery.sockets.get(got.connection - 1).getOutputStream();
             out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            pause(newsAfter);
             chunk(out, news + "\n");
             watches.add(out);
         } catch (IOException e) {
@@ -330,6 +331,19 @@
     }
 
     void start() throws Exception {
+        launch();
+        until("the relay is ready", 10_000, () -> {
+            try {
+                return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        until("it follows the list", 5_000, () -> newsAfter < 0 || !watches.isEmpty());
+    }
+
+    /** Starts the process and leaves it to itself. */
+    void launch() throws Exception {
         watches.clear();
         Path config = folder.resolve("config.json");
         Files.writeString(config, config());
@@ -342,14 +356,6 @@
             builder.command().addAll(0, List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
         }
         process = unread ? builder.start() : builder.redirectOutput(folder.resolve("log").toFile()).start();
-        until("the relay is ready", 10_000, () -> {
-            try {
-                return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
-            } catch (IOException e) {
-                return false;
-            }
-        });
-        until("it follows the list", 5_000, () -> newsAfter < 0 || !watches.isEmpty());
     }
 
     /** Has the running relay read a configuration of these words. */
