--- a/lab/src/main/java/yewpath/lab/Main.java
+++ b/lab/src/main/java/yewpath/lab/Main.java
@@ -31,6 +31,8 @@
         int envelopes = 2_000;
         @Parameter(names = "--rate", description = "Envelopes a second, 1 to 5000")
         int rate = 400;
+        @Parameter(names = "--destinations", description = "Destinations listed, with one endpoint each, 1 to 10000")
+        int destinations = 4;
     }
 
     @Parameters(commandDescription = "Bytes of heap that Logic keeps for a key long over and for a destination at rest")
@@ -264,7 +266,7 @@
 
     private static int starts(StartsWord words) throws IOException, InterruptedException {
         if (words.times < 1 || words.times > 100 || words.envelopes < 1 || words.envelopes > 100_000 || words.rate < 1
-            || words.rate > 5_000) {
+            || words.rate > 5_000 || words.destinations < 1 || words.destinations > 10_000) {
             fail("a figure is out of its range (yewpath-lab --help tells them)");
         }
         List<Path> checkouts = words.checkouts.stream().map(Path::of).toList();
@@ -273,7 +275,7 @@
                 fail(checkout + " has no deploy/run.sh");
             }
         }
-        return new Starts(System.out, words.envelopes, words.rate).run(checkouts, words.times);
+        return new Starts(System.out, words.envelopes, words.rate, words.destinations).run(checkouts, words.times);
     }
 
     private static void fail(String message) {
--- a/lab/src/main/java/yewpath/lab/Starts.java
+++ b/lab/src/main/java/yewpath/lab/Starts.java
@@ -37,11 +37,13 @@
     private final PrintStream say;
     private final int envelopes;
     private final int rate;
+    private final int destinations;
 
-    Starts(PrintStream say, int envelopes, int rate) {
+    Starts(PrintStream say, int envelopes, int rate, int destinations) {
         this.say = say;
         this.envelopes = envelopes;
         this.rate = rate;
+        this.destinations = destinations;
     }
 
     /** Returns the exit code. */
@@ -80,7 +82,7 @@
             List<Endpoint> endpoints = new ArrayList<>();
             Platform platform = new Platform(reactor, accounts, endpoints);
             SplittableRandom chance = new SplittableRandom(1);
-            for (int i = 0; i < 4; i++) {
+            for (int i = 0; i < destinations; i++) {
                 endpoints.add(new Endpoint(reactor, accounts, "e" + i, i, "plain", rate, "0 s: answer 200 after 5 ms", chance.split(),
                     platform::tell));
             }
@@ -138,7 +140,7 @@
     /** On its schedule, whatever becomes of those before. */
     private void next(Reactor reactor, Client client, long begun, int[] count) {
         while (count[0] < envelopes && begun + count[0] * SECOND / rate <= reactor.now()) {
-            client.handIn("s" + count[0], "status", Accounts.Kind.REPEATABLE, count[0] % 4, null, 8 * SECOND, new byte[200]);
+            client.handIn("s" + count[0], "status", Accounts.Kind.REPEATABLE, count[0] % destinations, null, 8 * SECOND, new byte[200]);
             count[0]++;
         }
         if (count[0] < envelopes) {
--- a/lab/src/main/java/yewpath/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/yewpath/lab/scenario/ScenarioFile.java
@@ -45,7 +45,7 @@
         span("run.warm", 0, 0, 86_400 * S, "What is handed in before is not counted.", (s, x) -> s.warm = (long) x);
         count("world.relays", 1, 1, 10_000, "Relays, each alike.", (s, x) -> s.relays = (int) x);
         count("world.destinations", 10, 1, 1_000_000, "Destinations.", (s, x) -> s.destinations = (int) x);
-        count("world.endpoints", 2, 1, 1_000, "Endpoints of each.", (s, x) -> s.endpointsEach = (int) x);
+        count("world.endpoints", 2, 1, 10_000, "Endpoints of each.", (s, x) -> s.endpointsEach = (int) x);
         count("world.hold", 200, 1, 10_000_000, "Envelopes a relay holds at most.", (s, x) -> s.hold = (int) x);
         count("world.slots", 64, 1, 1_000_000, "Calls a relay may have out.", (s, x) -> s.slots = (int) x);
         count("world.tries", 8, 0, 1_000, "Shots of an envelope at most; 0 for any number.", (s, x) -> s.tries = (int) x);
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -201,6 +201,10 @@
     int descriptors;
     String mode = "pushed";
     int holdMost = 50;
+    /** As many of them as the settings tell of. */
+    int relays = 1;
+    /** For the virtual machine of the relay. */
+    List<String> flags = List.of();
     /** Whether the relay writes its log into a pipe that nobody empties. */
     boolean unread;
     String weight = "50.0";
@@ -307,7 +311,7 @@
             + "\",\"state\":\"" + folder.resolve("state") + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
             + "\"memory_mb\":192" + (limits.contains("sockets") ? "" : ",\"sockets\":1024") + (limits.contains("disk_mb") ? "" : ",\"disk_mb\":3") + limits + "},"
             + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries.values()) + "]},"
-            + "\"settings\":{\"balancers\":1,\"ordinal\":0,\"discovery\":\"" + mode + "\",\"weights\":\"nominal\",\"zones\":[\"z\"],"
+            + "\"settings\":{\"balancers\":" + relays + ",\"ordinal\":0,\"discovery\":\"" + mode + "\",\"weights\":\"nominal\",\"zones\":[\"z\"],"
             + "\"kinds\":[\"plain\",\"bundled\"],\"family_info\":{\"max_calls\":8,\"bundle_max\":[1,20],"
             + "\"routes_apart\":[false,false],\"late\":\"by_half\"},\"limits\":{\"cancel\":true,\"retry_after\":true,"
             + "\"max_open\":" + holdMost + ",\"try_limit\":8,\"connect_timeout_ms\":1000.0,\"conn_idle_ms\":2000.0},\"rules\":{"
@@ -351,6 +355,7 @@
         if (!operator.isEmpty()) {
             builder.command().addAll(List.of("--operator", Files.writeString(operatorFile(), operator).toString()));
         }
+        builder.command().addAll(1, flags);
         builder.environment().putAll(environment);
         if (descriptors > 0) {
             builder.command().addAll(0, List.of("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
