--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -15,6 +15,9 @@
 
         String key();
 
+        /** By which the endpoint knows it again; null where it has none. */
+        String tag();
+
         byte[] body();
 
         long expiry();
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -79,6 +79,10 @@
         if (one.key() != null) {
             head.with("Affinity-Key", one.key());
         }
+        if (one.tag() != null) {
+            // Without it an endpoint would take a second shot for another envelope.
+            head.with("Idempotency-Key", one.tag());
+        }
         return head.done(one.body());
     }
 
@@ -88,8 +92,8 @@
             for (Call.Cargo one : cargo) {
                 out.writeStartObject();
                 out.writeStringField("id", one.id());
-                if (one.key() != null) {
-                    out.writeStringField("key", one.key());
+                if (one.tag() != null || one.key() != null) {
+                    out.writeStringField("key", one.tag() != null ? one.tag() : one.key());
                 }
                 out.writeFieldName("body");
                 out.writeBinary(Base64Variants.MIME_NO_LINEFEEDS, one.body(), 0, one.body().length);
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -183,8 +183,8 @@
             answer(404);
             return;
         }
-        desk.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"), destination, within,
-            parser.takeBody(), new Desk.Reply() {
+        desk.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"), parser.header("Idempotency-Key"),
+            destination, within, parser.takeBody(), new Desk.Reply() {
                 @Override
                 public boolean with(int status, long pause) {
                     Writer answer = Writer.answer(status);
--- a/relay/src/main/java/yewpath/ledger/Entry.java
+++ b/relay/src/main/java/yewpath/ledger/Entry.java
@@ -7,6 +7,8 @@
     public final String offering;
     public final String tenant;
     public final String key;
+    /** By which an endpoint knows a tagged envelope again, as its client gave it; null where none was given. */
+    public final String tag;
     public final String destination;
     public final long expiry;
     /** What it takes of the ledger's room, with what is set aside for its shots and its end. */
@@ -25,13 +27,14 @@
     public boolean handedBack;
     public long pause;
 
-    public Entry(long number, String id, String offering, String tenant, String key, String destination,
+    public Entry(long number, String id, String offering, String tenant, String key, String tag, String destination,
                  long expiry, byte[] body) {
         this.number = number;
         this.id = id;
         this.offering = offering;
         this.tenant = tenant;
         this.key = key;
+        this.tag = tag;
         this.destination = destination;
         this.expiry = expiry;
         this.body = body;
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -71,9 +71,9 @@
         return liveBytes + e.room <= liveMost;
     }
 
-    public Entry draft(String id, String offering, String tenant, String key, String destination, long expiry,
-                       byte[] body) {
-        Entry e = new Entry(++lastNumber, id, offering, tenant, key, destination, expiry, body);
+    public Entry draft(String id, String offering, String tenant, String key, String tag, String destination,
+                       long expiry, byte[] body) {
+        Entry e = new Entry(++lastNumber, id, offering, tenant, key, tag, destination, expiry, body);
         e.room = Records.taken(e).length + aside;
         return e;
     }
--- a/relay/src/main/java/yewpath/ledger/Records.java
+++ b/relay/src/main/java/yewpath/ledger/Records.java
@@ -76,6 +76,9 @@
             out.writeLong(e.expiry);
             out.writeInt(e.body.length);
             out.write(e.body);
+            if (e.tag != null) {
+                write(out, e.tag);
+            }
         });
     }
 
@@ -89,7 +92,9 @@
         long expiry = in.getLong();
         byte[] body = new byte[in.getInt()];
         in.get(body);
-        return new Entry(number, words[0], words[1], words[2], words[3], words[4], expiry, body);
+        // Last, since records from before there were tags end here.
+        String tag = in.hasRemaining() ? read(in) : null;
+        return new Entry(number, words[0], words[1], words[2], words[3], tag, words[4], expiry, body);
     }
 
     static byte[] shot(Entry e) {
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -195,14 +195,14 @@
     }
 
     @Override
-    public void handIn(String id, String offering, String tenant, String key, String destination, long within,
-                       byte[] body, Reply reply) {
+    public void handIn(String id, String offering, String tenant, String key, String tag, String destination,
+                       long within, byte[] body, Reply reply) {
         long expiry = loop.now() + within;
-        loop.gather(() -> take(id, offering, tenant, key, destination, expiry, body, reply));
+        loop.gather(() -> take(id, offering, tenant, key, tag, destination, expiry, body, reply));
     }
 
-    private void take(String id, String offering, String tenant, String key, String destination, long expiry,
-                      byte[] body, Reply reply) {
+    private void take(String id, String offering, String tenant, String key, String tag, String destination,
+                      long expiry, byte[] body, Reply reply) {
         if (reply.clientLeft()) {
             return;
         }
@@ -211,7 +211,7 @@
             reply.with(202, 0);
             return;
         }
-        Entry entry = ledger.draft(id, offering, tenant, key, destination, expiry, body);
+        Entry entry = ledger.draft(id, offering, tenant, key, tag, destination, expiry, body);
         if (isClosing() || envelopes.open() >= holdLimit || !ledger.hasRoom(entry)) {
             if (Log.tells(Event.ENVELOPE_REFUSED)) {
                 Log.tell(Event.ENVELOPE_REFUSED, id, isClosing() ? "closing" : envelopes.open() >= holdLimit ? "hold" : "ledger");
@@ -310,6 +310,11 @@
             return one.entry.key;
         }
 
+        @Override
+        public String tag() {
+            return one.entry.tag;
+        }
+
         @Override
         public byte[] body() {
             return one.entry.body;
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -153,6 +153,25 @@
         assertTrue(endpoint.got.get(2).at - endpoint.got.get(1).at >= 200_000_000L, "the key did not rest");
     }
 
+    @Test
+    public void theTagOfAnEnvelopeIsPassedOnInEveryLife() throws Exception {
+        Stand.Server endpoint = stand.endpoint("e1", 1, "plain", got -> SILENCE);
+        Stand.Server bundles = stand.endpoint("e2", 2, "bundled", got -> SILENCE);
+        stand.start();
+        String tagged = "Idempotency-Key: 0268084139284ccf896de4ac5653e423\r\nTenant:";
+        assertEquals(stand.ask(Stand.envelope("t1", "serial", 1, 15000, "x").replace("Tenant:", tagged)).status(), 202);
+        until("it is out", 2000, () -> endpoint.got.size() == 1);
+        stand.kill();
+        endpoint.answer = got -> OK;
+        stand.start();
+        until("it goes again", 5000, () -> endpoint.got.size() == 2);
+        assertEquals(endpoint.got.stream().map(got -> got.headers.get("idempotency-key")).distinct().toList(),
+            List.of("0268084139284ccf896de4ac5653e423"), "the endpoint can't know it again");
+        assertEquals(stand.handIn("first", "status", 2, 7900), 202);
+        until("a call is out", 2000, () -> bundles.got.size() == 1);
+        assertTrue(bundles.got.get(0).headers.get("idempotency-key") == null, "a tag nobody gave");
+    }
+
     @Test
     public void aNoticeOwedIsToldByTheNextLife() throws Exception {
         stand.endpoint(1, got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
@@ -324,8 +343,8 @@
     public void aLedgerCutAtAnyByteOpens() throws Exception {
         Path folder = stand.folder.resolve("cut");
         Ledger ledger = new Ledger(folder, 400_000, 600_000, 512);
-        Entry first = ledger.draft("i1", "order", null, "k", "7", 99, "abc".getBytes(StandardCharsets.UTF_8));
-        Entry second = ledger.draft("i2", "order", "t", null, "8", 99, new byte[0]);
+        Entry first = ledger.draft("i1", "order", null, "k", "t-1", "7", 99, "abc".getBytes(StandardCharsets.UTF_8));
+        Entry second = ledger.draft("i2", "order", "t", null, null, "8", 99, new byte[0]);
         ledger.taken(first);
         ledger.flush();
         long one = Files.size(folder.resolve("ledger"));
@@ -340,8 +359,9 @@
             assertEquals(cut.size() >= 1, length >= one, "cut at " + length);
             if (length == whole.length) {
                 Entry back = cut.live().iterator().next();
-                assertEquals(back.shots + " " + back.doubtSince + back.doubtZone + " " + new String(back.body),
-                    "1 50z abc");
+                assertEquals(back.shots + " " + back.doubtSince + back.doubtZone + " " + new String(back.body) + back.tag,
+                    "1 50z abct-1");
+                assertTrue(cut.live().stream().anyMatch(e -> e.id.equals("i2") && e.tag == null), "a tag nobody gave");
                 assertTrue(cut.live().stream().anyMatch(e -> e.noticeOwed && e.handedBack && e.pause == 1234));
             }
         }
