ClosingTest holds the relay well ahead of its end, however busy the machine

Read over: the process was to be held still within 50 ms of SIGTERM, and a resting connection asked within 0.5 s, or the test itself would have been late. The times it may stay are 1 and 2 s there now.

--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -34,16 +34,21 @@
         socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** Asked to end, the relay is held still as soon as it has begun to: what follows all finds it at one moment. */
-    private void terminateAndHold() throws Exception {
+    /**
+     * Asked to end, the relay is held still as soon as it has begun to: what follows all finds it at one moment. It stays
+     * for as long as told in any case, so that it is held before its end is due however busy the machine.
+     */
+    private long terminateAndHold() throws Exception {
+        long asked = System.nanoTime();
         stand.process.destroy();
         until("it begins to close", 2000, () -> stand.log().stream().anyMatch(line -> line.contains("relay.closing")));
         stand.signal("STOP");
+        return asked;
     }
 
-    /** Past the time for which it stays in any case, so that its end is due when it goes on. */
-    private void goOnAtItsEnd(long heldSince) throws Exception {
-        until("its end is due", 2000, () -> System.nanoTime() - heldSince > 300_000_000L);
+    /** Past that time, so that its end is due when it goes on. */
+    private void goOnAtItsEnd(long asked) throws Exception {
+        until("its end is due", 3000, () -> System.nanoTime() - asked > 1_200_000_000L);
         stand.signal("CONT");
     }
 
@@ -57,7 +62,7 @@
 
     @Test
     public void whoeverHasConnectedWhenItsEndIsDueIsAnswered() throws Exception {
-        stand.operator = "[closing]\nleast = \"50 ms\"\n";
+        stand.operator = "[closing]\nleast = \"1 s\"\n";
         stand.endpoint(1, got -> OK);
         stand.start();
         List<Socket> resting = new ArrayList<>();
@@ -65,8 +70,7 @@
             resting.add(connected());
             assertEquals(Stand.ask(resting.get(i), Stand.envelope("before" + i, "status", 1, 7900, "x")).status(), 202);
         }
-        terminateAndHold();
-        long held = System.nanoTime();
+        long asked = terminateAndHold();
         List<Socket> asking = new ArrayList<>(resting);
         for (int i = 0; i < 40; i++) {
             asking.add(connected());
@@ -77,7 +81,7 @@
         for (int i = 0; i < asking.size(); i++) {
             say(asking.get(i), Stand.envelope("late" + i, "status", 1, 7900, "y".repeat(i % 2 * 3000)));
         }
-        goOnAtItsEnd(held);
+        goOnAtItsEnd(asked);
         for (int i = 0; i < asking.size(); i++) {
             Stand.Answer answer = Stand.answer(asking.get(i));
             assertEquals(answer.status(), 503, "connection " + i);
@@ -104,6 +108,7 @@
 
     @Test
     public void thoseThatNeverReadOrNeverEndTheirRequestHoldItNoLongerThanItsBound() throws Exception {
+        stand.operator = "[closing]\nleast = \"2 s\"\n";
         stand.endpoint(1, got -> OK);
         stand.start();
         Socket deaf = connected();
