--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -72,7 +72,8 @@
         }
         long asked = terminateAndHold();
         List<Socket> asking = new ArrayList<>(resting);
-        for (int i = 0; i < 40; i++) {
+        // So many that they can't all be let in before an end that is due at once.
+        for (int i = 0; i < 400; i++) {
             asking.add(connected());
         }
         Socket half = connected();
