--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -41,7 +40,7 @@
     private long terminateAndHold() throws Exception {
         long asked = System.nanoTime();
         stand.process.destroy();
-        until("it begins to close", 2000, () -> stand.log().stream().anyMatch(line -> line.contains("relay.closing")));
+        until("it begins to close", 2000, () -> stand.hasLogged("relay.closing"));
         stand.signal("STOP");
         return asked;
     }
@@ -136,7 +135,7 @@
         say(garbage, "\0\1\2 garbage\r\n\r\n");
         Socket good = connected();
         stand.process.destroy();
-        until("it closes", 2000, () -> stand.log().stream().anyMatch(line -> line.contains("relay.closing")));
+        until("it closes", 2000, () -> stand.hasLogged("relay.closing"));
         assertEquals(Stand.ask(good, Stand.envelope("good", "status", 1, 7900, "x")).status(), 503);
         endsInTime();
     }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -425,7 +425,7 @@
         stand.noticeStatus = 500;
         stand.start();
         stand.handIn("n1", "order", 1, 9000);
-        until("its pause has begun", 2000, () -> stand.log().stream().anyMatch(line -> line.contains("notice.unheard")));
+        until("its pause has begun", 2000, () -> stand.hasLogged("notice.unheard"));
         Stand.Server old = stand.discovery;
         stand.moveDiscovery();
         stand.noticeStatus = 204;
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -378,6 +378,10 @@
         return Files.readAllLines(folder.resolve("log"));
     }
 
+    boolean hasLogged(String event) throws IOException {
+        return log().stream().anyMatch(line -> line.contains(event));
+    }
+
     void kill() throws Exception {
         process.destroyForcibly().waitFor();
     }
