The share left of a limit is asked for less after refusals, nothing lent beside it

Lines at fault: Logic.speed, which lets each relay have half of the limit times what is left, whoever else asks; Logic.refused, which spread the next token of ten relays over a fifth of a call. Mend: what is left is divided by one and the refusals of the last 20 s; nothing is lent where the share left is told, as that tells what others leave; a refusal takes a chance part of a token, up to one less a relay's share of all.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -61,6 +61,7 @@
         double listed = Double.NaN, told = Double.NaN, pace, left, tokens = 1;
         long waitUntil, tokensAt, pressedAt = -NEVER;
         int fulls, members;
+        final Count refusals = new Count();
         final Destination of;
 
         Route(Destination of) {
@@ -514,14 +515,14 @@
 
     /** This relay's even part, and what others leave: the limit once for all, or a call for a lone envelope. */
     private double part(Route r) {
-        double lent = min(LENT, max(1.0 / relays, lone / rateOf(r)));
+        double lent = r.told > 0 ? 0 : min(LENT, max(1.0 / relays, lone / rateOf(r)));
         return rateOf(r) * (PACE_START / relays + lent * (1 - 1.0 / relays));
     }
 
     /** Where the limit's share left is told, what is unused now may be sent for by whoever has envelopes. */
     private double speed(Route r) {
         return r.told > 0 ? max(r.pace, min(CATCH_UP * r.of.asked.by(now, 0) * SECOND / IDLE,
-            r.told * AT_ONCE * (r.left - SPARED))) : r.pace;
+            r.told * AT_ONCE * (r.left - SPARED) / (1 + r.refusals.by(now, 0)))) : r.pace;
     }
 
     private void refill(int at) {
@@ -543,12 +544,13 @@
 
     private void refused(Route r, Call call, long wait) {
         r.fulls++;
+        r.refusals.by(now, 1);
         if (call.generation == call.to.generation) {
             double even = rateOf(r) / relays, own = PACE_START * even;
             r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
         // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
-        r.tokens -= min(1, relays / 50.0) * chance();
+        r.tokens -= (1 - 1.0 / relays) * chance();
         double spread = wait > SHUT_AFTER ? trialGap(call.endpoint) - 2 * SECOND : 0;
         double pause = max(pauseAfter(sizeOf(r), r.fulls), spread);
         r.waitUntil = max(r.waitUntil, now + wait + (long) (wait > 0 ? pause * chance() : pause));
