A 503 that closes a fresh connection with no wait told is a full table, not a limit reached

Line at fault: Answers.outcome, 503 always Egress.FULL. Mend: such an answer is UNREACHED, as a connect turned away; Logic then leaves no idle connection at that kind and pauses by its run. Test: DeliveryTest.aFullTableIsNoLimitReached, red without it (the outcomes are full four times).

--- a/relay/src/main/java/yewpath/delivery/Answers.java
+++ b/relay/src/main/java/yewpath/delivery/Answers.java
@@ -12,7 +12,13 @@
 final class Answers {
     private Answers() { }
 
-    static int outcome(Parser answer) {
+    /** {@code first} tells that nothing had been asked on this connection before. */
+    static int outcome(Parser answer, boolean first) {
+        if (first && answer.status() == 503 && !answer.lasting() && answer.header("Retry-After") == null) {
+            // Too many connections: closed at once without a word of a limit or a wait. It speaks of the table, not of the
+            // limit; read as full, it took the pace away from relays that had hardly a connection.
+            return Egress.UNREACHED;
+        }
         if (answer.status() == 503 && "1".equals(answer.header("X-Over-Slots"))) {
             // Says nothing of the endpoint: this relay had a call too many out, as one given up can still count.
             return Egress.MOOT;
--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -140,7 +140,7 @@
         limit = Answers.report(answer, reportFields, "x1");
         long wait = Answers.wait(answer);
         if (cargo.length == 1 || answer.status() != 200) {
-            endAll(Answers.outcome(answer), wait, Answers.isOver(answer.status()));
+            endAll(Answers.outcome(answer, caller.isFirst()), wait, Answers.isOver(answer.status()));
             return;
         }
         Answers.each(answer.takeBody(), (id, state) -> {
--- a/relay/src/main/java/yewpath/http/Caller.java
+++ b/relay/src/main/java/yewpath/http/Caller.java
@@ -104,6 +104,11 @@
         return link != null && link.isQuiet();
     }
 
+    /** Whether the request that is out, or was last, is the first on its connection. */
+    public boolean isFirst() {
+        return !kept;
+    }
+
     /** Whether the first byte of the request has been written. */
     public boolean hasLeft() {
         return request == null;
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -451,6 +451,29 @@
         return before + handed[0];
     }
 
+    /**
+     * A server without room for one more connection answers 503 and closes. Read as full, as everything else that is 503,
+     * it would slow the pace for a limit that nobody had reached.
+     */
+    @Test
+    public void aFullTableIsNoLimitReached() throws Exception {
+        stand.operator = "[log]\nlevel = \"debug\"\n";
+        List<String> answers = List.of(OK, status(503, "Connection: close"), status(503, "Connection: close"),
+            status(503, "Connection: close", "Retry-After: 0.010"), status(503), OK);
+        AtomicInteger asked = new AtomicInteger();
+        stand.endpoint(1, got -> answers.get(Math.min(asked.getAndIncrement(), answers.size() - 1)));
+        stand.start();
+        stand.handIn("t0", "status", 1, 20_000);
+        until("the first is delivered", 10_000, () -> asked.get() == 1 && stand.hasLogged("envelope.fulfilled"));
+        stand.handIn("t1", "status", 1, 20_000);
+        until("the second is delivered", 20_000, () -> asked.get() == 6
+            && stand.log().stream().filter(line -> line.contains("envelope.fulfilled")).count() == 2);
+        List<String> backs = stand.log().stream().filter(line -> line.contains("envelope.back"))
+            .map(line -> line.replaceAll(".*\"outcome\":\"([a-z]+)\".*", "$1")).toList();
+        // On a kept connection; on a fresh one; with a wait told; on a fresh one that stays open.
+        assertEquals(backs, List.of("full", "unreached", "full", "full"));
+    }
+
     @Test
     public void whereListsAreAskedForTheModuleAsksAgain() throws Exception {
         stand.mode = "on_request";
