A client's connection is closed for want of room only after a last look at it

Symptom: ClosingTest.whoeverHasConnectedWhenItsEndIsDueIsAnswered failed once of two runs of all tests, "Connection reset", while the fleet test kept 14 of 16 cores busy. The test holds the relay still, connects 400 clients and has each ask. Checked: the relay of that test has a heap of 64 MB, so room for 327 connections; where the accepting thread is ahead of the reading one, the 328th finds none that waits for an answer, since nothing has been read, and one is closed with its request in the socket: a reset, and what it had handed in is lost. Lines at fault: Door.leastBusy, and Visit.checkTime, which closes what rests as if read. Ruled out: the stages of the end (the listener closes after all are let in; the reset comes before). Mend: who is to go is looked at once more; if its request has come, another goes, or none: the accepting thread stops ahead. Test: IntakeTest.whoHasAskedIsNotClosedForWantOfRoom, 300 clients where there is room for 4, at a relay held still; red without the mend.

--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/Door.java
@@ -62,9 +62,23 @@
         visits.add(new Visit(loop, limits, desk, connection, visits::remove));
     }
 
-    /** Full: the one that can be missed most goes, of several the longest quiet. */
+    /**
+     * Full: the one that can be missed most goes, after a last look. Guards against a rush that is let in faster than it
+     * is read: closed with its request unread, a client's connection is reset, and what it had handed in is lost.
+     */
     private void leastBusy() {
         long now = loop.now();
+        for (Visit goes = leastMissed(now); goes != null; goes = leastMissed(now)) {
+            if (goes.restsStill(now)) {
+                Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, visits.size());
+                goes.close();
+                return;
+            }
+        }
+    }
+
+    /** Of several the longest quiet; null where each waits for its answer. */
+    private Visit leastMissed(long now) {
         Visit goes = null;
         int least = Visit.NEEDED;
         for (Visit visit : visits) {
@@ -74,10 +88,7 @@
                 least = missed;
             }
         }
-        if (goes != null) {
-            Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, visits.size());
-            goes.close();
-        }
+        return goes;
     }
 
     /** Ends the connections that rest between two requests; the others have their answer first. */
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -61,6 +61,13 @@
         return quiet > (asked ? limits.idleLeast() : limits.speechWithin()) ? 0 : asked ? 1 : 2;
     }
 
+    /** Whether a last look finds nothing that would make it missed more. */
+    boolean restsStill(long now) {
+        int before = missed(now);
+        link.look();
+        return link.isClosed() || missed(now) == before;
+    }
+
     long quietSince() {
         return since;
     }
@@ -68,7 +75,7 @@
     void checkTime(long now) {
         long waited = now - since;
         if (leaving && waited > limits.lingerFor() || !link.allWritten() && waited > limits.requestWithin()
-            || !leaving && isBetween() && waited > (asked ? limits.clientIdle() : limits.silentFor())) {
+            || !leaving && isBetween() && waited > (asked ? limits.clientIdle() : limits.silentFor()) && restsStill(now)) {
             close();
         } else if (!leaving && !answering && !isBetween()
             && now - (asked ? since : connectedAt) > limits.requestWithin()) {
--- a/relay/src/test/java/yewpath/IntakeTest.java
+++ b/relay/src/test/java/yewpath/IntakeTest.java
@@ -217,6 +217,29 @@
         }
     }
 
+    /** Held still, the relay finds far more connections than it has room for, each with a request that it has not read. */
+    @Test
+    public void whoHasAskedIsNotClosedForWantOfRoom() throws Exception {
+        List<Socket> rush = new ArrayList<>();
+        try (Stand full = new Stand()) {
+            full.operator = "[clients]\nconnections = 4\n";
+            full.endpoint(1, got -> OK);
+            full.start();
+            full.signal("STOP");
+            for (int i = 0; i < 300; i++) {
+                rush.add(full.connect());
+                rush.get(i).getOutputStream().write(Stand.envelope("rush" + i, "status", 1, 7900, "x")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            }
+            full.signal("CONT");
+            for (int i = 0; i < rush.size(); i++) {
+                int status = Stand.answer(rush.get(i)).status();
+                assertTrue(status == 202 || status == 503, "connection " + i + ": " + status);
+                rush.get(i).close();
+            }
+        }
+    }
+
     @Test
     public void silentConnectionsDoNotTakeTheRoomOfThoseThatAsk() throws Exception {
         List<Socket> silent = new ArrayList<>();
