In a call of several the envelope that lives longest stands first

Ruled out: an answer cut short (length 165, read whole as JSON), a late one (the others had 138 ms to 4 s left), a wrong state (done), a lost notice. At fault: Delivery.bulk, which leaves the order to chance, so that the one by which the other side knows the call may end before the others. Test: DeliveryTest.theFirstOfSeveralInOneCallOutlivesTheOthers, red before ([short, middle, long]), green now.

--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -86,10 +87,16 @@
         return head.done(one.body());
     }
 
+    /**
+     * Who lives longest stands first. Guards against a platform that knows a call by its first envelope: told that this
+     * one is at its end, it takes the call for over, and what the answer then says of the others counts for nothing.
+     */
     private byte[] bulk(int endpoint, List<Call.Cargo> cargo, long within) {
+        List<Call.Cargo> ordered = new ArrayList<>(cargo);
+        ordered.sort(Comparator.comparingLong(Call.Cargo::expiry).reversed());
         byte[] items = Tokens.write(out -> {
             out.writeStartArray();
-            for (Call.Cargo one : cargo) {
+            for (Call.Cargo one : ordered) {
                 out.writeStartObject();
                 out.writeStringField("id", one.id());
                 if (one.tag() != null || one.key() != null) {
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -410,6 +410,37 @@
         assertEquals(stand.notices.size(), 2, "" + stand.notices);
     }
 
+    /**
+     * A platform that knows a call of several by its first envelope takes the call for over when it is told that this
+     * one has ended: no other may outlive the first.
+     */
+    @Test
+    public void theFirstOfSeveralInOneCallOutlivesTheOthers() throws Exception {
+        Stand.Server endpoint = new Stand.Server(got -> {
+            try {
+                until("the one with the least time is told to be at its end", 4000, () -> stand.ended("short", "given_up"));
+            } catch (Exception never) {
+                return CUT;
+            }
+            return body("[{\"id\":\"long\",\"state\":\"done\"},{\"id\":\"middle\",\"state\":\"done\"},"
+                + "{\"id\":\"short\",\"state\":\"done\"}]");
+        });
+        stand.closed(1);
+        stand.start();
+        // Of those that can no longer make their agreed time the newest goes first.
+        assertEquals(stand.handIn("long", "order", 1, 9000), 202);
+        assertEquals(stand.handIn("middle", "order", 1, 6000), 202);
+        assertEquals(stand.handIn("short", "order", 1, 1200), 202);
+        stand.tell(false, stand.entry("e1", endpoint.address(), 1, "bundled", "up"));
+        until("one call for all", 2000, () -> endpoint.got.size() == 1);
+        String bundle = endpoint.got.get(0).body;
+        assertTrue(bundle.indexOf("\"long\"") < bundle.indexOf("\"middle\"")
+            && bundle.indexOf("\"middle\"") < bundle.indexOf("\"short\""), bundle);
+        until("the others are delivered", 4000, () -> stand.figure("fulfilled") == 2 && stand.figure("open") == 0);
+        assertEquals(endpoint.got.size(), 1);
+        endpoint.close();
+    }
+
     @Test
     public void followsTheListAndKeepsItThroughGarbage() throws Exception {
         Stand.Server first = stand.endpoint(1, got -> OK);
