A destination that no list names yet is refused with a time to return, not answered 404

Found by reading: Visit.envelope answered 404, which clients count as failed, for a destination that discovery had and the relay did not yet. A list may only be late, so it is a refusal: 503, with Retry-After where the settings allow one, by the same line of Relay.take as a full hold, and logged as unlisted.

--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -22,7 +22,7 @@
     ENVELOPE_TAKEN("envelope.taken", Level.DEBUG, "Taken on: its end is owed from now on.", "id", "offering", "tenant",
         "destination", "within_ms", "bytes"),
     ENVELOPE_RESTORED("envelope.restored", Level.DEBUG, "Read from the ledger at the start.", "id", "shots", "in_doubt"),
-    ENVELOPE_REFUSED("envelope.refused", Level.DEBUG, "Not taken on; why is closing, hold or ledger.", "id", "why"),
+    ENVELOPE_REFUSED("envelope.refused", Level.DEBUG, "Not taken on; why is closing, hold, ledger or unlisted (no list names its destination).", "id", "why"),
     ENVELOPE_SHOT("envelope.shot", Level.DEBUG, "Its first byte leaves for an endpoint.", "id", "shot", "endpoint"),
     ENVELOPE_BACK("envelope.back", Level.DEBUG, "A shot has ended without delivering it.", "id", "shot", "endpoint", "outcome",
         "elapsed_ms", "wait_ms"),
--- a/relay/src/main/java/yewpath/intake/Desk.java
+++ b/relay/src/main/java/yewpath/intake/Desk.java
@@ -14,9 +14,6 @@
 
     boolean knows(String offering);
 
-    /** Whether some list has named it so far. */
-    boolean knowsDestination(String number);
-
     /** One line of figures for whoever watches over the relay. */
     byte[] figures();
 
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -185,11 +185,6 @@
             answer(400);
             return;
         }
-        if (!desk.knowsDestination(destination)) {
-            // Held, it would take the room of others until its expiry, and each such number would be kept for good.
-            answer(404);
-            return;
-        }
         desk.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"), parser.header("Idempotency-Key"),
             destination, within, parser.takeBody(), new Desk.Reply() {
                 @Override
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -169,11 +169,6 @@
         return boot.offerings.find(offering) >= 0;
     }
 
-    @Override
-    public boolean knowsDestination(String number) {
-        return endpoints.knowsDestination(number);
-    }
-
     @Override
     public byte[] figures() {
         return Tokens.write(out -> {
@@ -212,9 +207,13 @@
             return;
         }
         Entry entry = ledger.draft(id, offering, tenant, key, tag, destination, expiry, body);
-        if (isClosing() || envelopes.open() >= holdLimit || !ledger.hasRoom(entry)) {
+        String refusal = isClosing() ? "closing" : envelopes.open() >= holdLimit ? "hold" : !ledger.hasRoom(entry) ? "ledger"
+            // Held, it would take the room of others until its expiry, and each such number would be kept for good; but
+            // the list that names it may only be late, so the client is to come again.
+            : !endpoints.knowsDestination(destination) ? "unlisted" : null;
+        if (refusal != null) {
             if (Log.tells(Event.ENVELOPE_REFUSED)) {
-                Log.tell(Event.ENVELOPE_REFUSED, id, isClosing() ? "closing" : envelopes.open() >= holdLimit ? "hold" : "ledger");
+                Log.tell(Event.ENVELOPE_REFUSED, id, refusal);
             }
             reply.with(503, tellsPause ? logic.awayFor() : 0);
             return;
