The watch reads lists in any form and pieces, and its silence counts from what was whole

The clock of silence runs from the last head, empty line or whole object. A watch that has lived for longer than the pause before it starts its pauses anew. Ruled out by tests that were green before: a line cut off is asked for again from the version understood; what discovery has at its return, just after a try began, is taken up within 6 s.

--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -1,13 +1,12 @@
 package yewpath.directory;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.Caller;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
+import yewpath.json.Values;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -23,7 +22,6 @@
     private Loop.Timer again;
     private long backoff;
     private boolean answered;
-    private boolean answering;
 
     /** {@code failed} hears that a watch or a fetch has ended; it may be null where nobody asks by itself. */
     public Watch(Loop loop, Limits limits, InetSocketAddress discovery, long version, Listing.Hearer hearer,
@@ -67,75 +65,103 @@
     private void ask(String target, boolean following) {
         Caller asked = new Caller(loop, limits, discovery, limits.lineMost());
         caller = following ? asked : caller;
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        Loop.Timer[] quiet = {loop.after(limits.watchSilence(), asked::close)};
         byte[] request = Writer.request("GET", target, discovery).done();
-        asked.ask(request, new Caller.Answer() {
-            @Override
-            public void part(Parser answer) {
-                if (following && answer.headKnown() && answer.status() == 200) {
-                    quiet[0].callOff();
-                    quiet[0] = loop.after(limits.watchSilence(), asked::close);
-                    lines(answer.takeBody(), line, asked);
-                    if (!answering) {
-                        // Where nothing has changed no line follows the head; where something has, it may be apart.
-                        answering = true;
-                        loop.after(limits.answerRest(), Watch.this::hasNews);
-                    }
-                }
-            }
+        asked.ask(request, new Telling(asked, following));
+    }
 
-            @Override
-            public void whole(Parser answer) {
-                quiet[0].callOff();
-                if (answer.status() == 200) {
-                    lines(answer.takeBody(), line, asked);
-                    heard(line);
-                }
-                asked.close();
-                if (following || answer.status() != 200) {
-                    ended(following);
-                }
+    /** One answer of discovery, as long as it lasts. */
+    private final class Telling implements Caller.Answer {
+        private final Caller from;
+        private final boolean following;
+        private final Values values = new Values(this::object, this::emptyLine);
+        private Loop.Timer quiet;
+        private final long askedAt = loop.now();
+        private boolean headHeard;
+
+        Telling(Caller from, boolean following) {
+            this.from = from;
+            this.following = following;
+            isAlive();
+        }
+
+        /**
+         * Silence is counted from the last that was whole: the head, an empty line or an object. Guards against a watch
+         * whose bytes still drip, or that broke off in the middle of a line, and that will never tell anything again.
+         */
+        private void isAlive() {
+            if (quiet != null) {
+                quiet.callOff();
             }
+            quiet = loop.after(limits.watchSilence(), from::close);
+        }
 
-            @Override
-            public void failed(boolean sent, Parser answer) {
-                quiet[0].callOff();
-                ended(following);
+        @Override
+        public void part(Parser answer) {
+            if (!following || !answer.headKnown() || answer.status() != 200) {
+                return;
             }
-        });
-    }
+            if (!headHeard) {
+                headHeard = true;
+                isAlive();
+                loop.after(limits.answerRest(), this::nothingFollows);
+            }
+            feed(answer);
+        }
 
-    private void lines(byte[] bytes, ByteArrayOutputStream line, Caller from) {
-        for (byte b : bytes) {
-            if (b == '\n') {
-                heard(line);
-            } else {
-                line.write(b);
+        /** Where nothing has changed no object follows the head; where something has, it may be apart, and in pieces. */
+        private void nothingFollows() {
+            if (!from.isClosed() && !values.isInside()) {
+                hasNews();
             }
         }
-        if (line.size() > limits.lineMost()) {
+
+        @Override
+        public void whole(Parser answer) {
+            quiet.callOff();
+            if (answer.status() == 200) {
+                feed(answer);
+                if (values.isInside()) {
+                    Log.tell(Event.DIRECTORY_GARBLED, "cut off in the middle of an object");
+                }
+            }
             from.close();
+            if (following || answer.status() != 200) {
+                ended(following);
+            }
+        }
+
+        @Override
+        public void failed(boolean sent, Parser answer) {
+            quiet.callOff();
+            ended(following);
+        }
+
+        /** What can't be understood is told again: the watch is taken up anew from the last version understood. */
+        private void feed(Parser answer) {
+            try {
+                values.feed(answer.takeBody(), limits.lineMost());
+            } catch (IllegalArgumentException garbled) {
+                Log.tell(Event.DIRECTORY_GARBLED, garbled.getMessage());
+                from.close();
+            }
         }
-    }
 
-    private void heard(ByteArrayOutputStream line) {
-        byte[] bytes = line.toByteArray();
-        line.reset();
-        if (new String(bytes, StandardCharsets.ISO_8859_1).isBlank()) {
+        private void emptyLine() {
+            isAlive();
+            // A watch that has lived for longer than the pause before it is no longer one that keeps failing.
+            backoff = loop.now() - askedAt > backoff ? 0 : backoff;
             hasNews();
-            return;
         }
-        try {
+
+        private void object(byte[] bytes) {
             Listing list = Listing.read(bytes);
+            isAlive();
             loop.gather(() -> {
                 list.playTo(hearer);
                 version = list.version;
                 backoff = 0;
             });
             hasNews();
-        } catch (IllegalArgumentException garbled) {
-            resync(garbled);
         }
     }
 
@@ -146,14 +172,6 @@
         }
     }
 
-    /** What was missed comes again: the watch is taken up anew from the last version understood. */
-    private void resync(IllegalArgumentException garbled) {
-        Log.tell(Event.DIRECTORY_GARBLED, garbled.getMessage());
-        if (caller != null) {
-            caller.close();
-        }
-    }
-
     private void ended(boolean following) {
         if (failed != null) {
             failed.run();
--- a/relay/src/main/java/yewpath/json/Tokens.java
+++ b/relay/src/main/java/yewpath/json/Tokens.java
@@ -50,14 +50,24 @@
                 throw fault(at, "something after the value");
             }
             return value;
-        } catch (JsonProcessingException garbled) {
+        } catch (IOException e) {
+            throw garbled(e);
+        }
+    }
+
+    /** Reads a text whose bytes are fed to it as they come. */
+    static JsonParser incremental() throws IOException {
+        return FACTORY.createNonBlockingByteArrayParser();
+    }
+
+    static IllegalArgumentException garbled(IOException e) {
+        if (e instanceof JsonProcessingException garbled) {
             var place = garbled.getLocation();
-            throw new IllegalArgumentException(garbled.getOriginalMessage()
+            return new IllegalArgumentException(garbled.getOriginalMessage()
                 + (place == null ? "" : " at line " + place.getLineNr() + ", column " + place.getColumnNr()));
-        } catch (IOException e) {
-            // Bytes in memory are read without I/O; what is left are bytes that are no text (not UTF-8).
-            throw new IllegalArgumentException(e.getMessage());
         }
+        // Bytes in memory are read without I/O; what is left are bytes that are no text (not UTF-8).
+        return new IllegalArgumentException(e.getMessage());
     }
 
     /** What is at fault where the parser stands. */
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -143,21 +143,28 @@
         }
     }
 
+    /** Connects until the listener's queue is full and further connections stay silent. */
+    static List<Socket> fill(ServerSocket listener) throws IOException {
+        List<Socket> filling = new ArrayList<>();
+        for (boolean room = true; room;) {
+            Socket socket = new Socket();
+            filling.add(socket);
+            try {
+                socket.connect(listener.getLocalSocketAddress(), 200);
+            } catch (SocketTimeoutException full) {
+                room = false;
+            }
+        }
+        return filling;
+    }
+
     /** A server that never accepts: its queue is full, and further connections stay silent. */
     static final class Deaf implements AutoCloseable {
         private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-        private final List<Socket> filling = new ArrayList<>();
+        private final List<Socket> filling;
 
         Deaf() throws IOException {
-            for (boolean room = true; room;) {
-                Socket socket = new Socket();
-                filling.add(socket);
-                try {
-                    socket.connect(listener.getLocalSocketAddress(), 200);
-                } catch (SocketTimeoutException full) {
-                    room = false;
-                }
-            }
+            filling = fill(listener);
         }
 
         String address() {
@@ -191,6 +198,9 @@
     /** What a watch starts with, and how many milliseconds after its head; below 0 it never answers. */
     volatile String news = "";
     volatile int newsAfter;
+    /** The rest of what a watch starts with, and what is waited for before it. */
+    volatile String newsRest = "";
+    volatile Runnable beforeTheRest = () -> { };
     /** Whether a watch brings empty lines where nothing changes. */
     volatile boolean beats = true;
     private final Map<String, Server> endpoints = new LinkedHashMap<>();
@@ -205,6 +215,11 @@
     int descriptors;
     String mode = "pushed";
     int holdMost = 50;
+    /** For how long a repeat of a tagged envelope is known, and how long a connection may take to come up. */
+    int memoryMs = 6_000;
+    int connectTimeoutMs = 1_000;
+    /** Names in the configuration, and what stands there in their place. */
+    final Map<String, String> renamed = new LinkedHashMap<>();
     /** As many of them as the settings tell of. */
     int relays = 1;
     /** For the virtual machine of the relay. */
@@ -253,7 +268,11 @@
             out.flush();
             pause(newsAfter);
             synchronized (told) {
-                chunk(out, news + "\n");
+                if (!newsRest.isEmpty()) {
+                    chunk(out, news);
+                    beforeTheRest.run();
+                }
+                chunk(out, (newsRest.isEmpty() ? news : newsRest) + "\n");
                 for (String line : told.subList(before, told.size())) {
                     chunk(out, line + "\n");
                 }
@@ -282,12 +301,17 @@
     void tell(String line) {
         synchronized (told) {
             told.add(line);
-            for (OutputStream watch : watches) {
-                try {
-                    chunk(watch, line + "\n");
-                } catch (IOException e) {
-                    watches.remove(watch);
-                }
+            tellPart(line + "\n");
+        }
+    }
+
+    /** Some bytes to every open watch that need not be a line. */
+    void tellPart(String text) {
+        for (OutputStream watch : watches) {
+            try {
+                chunk(watch, text);
+            } catch (IOException e) {
+                watches.remove(watch);
             }
         }
     }
@@ -323,6 +347,14 @@
     }
 
     String config() {
+        String config = usualConfig();
+        for (Map.Entry<String, String> name : renamed.entrySet()) {
+            config = config.replace('"' + name.getKey() + '"', '"' + name.getValue() + '"');
+        }
+        return config;
+    }
+
+    private String usualConfig() {
         return "{\"name\":\"n0\",\"listen\":\"" + RELAY + ":" + port + "\",\"discovery\":\"" + discovery.address()
             + "\",\"state\":\"" + folder.resolve("state") + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
             + "\"memory_mb\":192" + (limits.contains("sockets") ? "" : ",\"sockets\":1024") + (limits.contains("disk_mb") ? "" : ",\"disk_mb\":3") + limits + "},"
@@ -330,12 +362,12 @@
             + "\"settings\":{\"balancers\":" + relays + ",\"ordinal\":0,\"discovery\":\"" + mode + "\",\"weights\":\"nominal\",\"zones\":[\"z\"],"
             + "\"kinds\":[\"plain\",\"bundled\"],\"family_info\":{\"max_calls\":8,\"bundle_max\":[1,20],"
             + "\"routes_apart\":[false,false],\"late\":\"by_half\"},\"limits\":{\"cancel\":true,\"retry_after\":true,"
-            + "\"max_open\":" + holdMost + ",\"try_limit\":8,\"connect_timeout_ms\":1000.0,\"conn_idle_ms\":2000.0},\"rules\":{"
+            + "\"max_open\":" + holdMost + ",\"try_limit\":8,\"connect_timeout_ms\":" + connectTimeoutMs + ".0,\"conn_idle_ms\":2000.0},\"rules\":{"
             + "\"cold_from\":0.2,\"cold_ms\":2000.0,\"fall_ms\":1000.0,\"fall_multiple\":2.0,\"settle_after_doubt_ms\":400.0}," + settings
             + "\"request_classes\":[{\"name\":\"status\",\"repeat\":\"pure\",\"worth\":1.0,\"late_worth\":0.1,"
             + "\"on_time_ms\":1000.0,\"give_up_ms\":8000.0},{\"name\":\"order\",\"repeat\":\"side_effect\",\"worth\":1.0,"
             + "\"late_worth\":0.4,\"on_time_ms\":3000.0,\"give_up_ms\":20000.0},{\"name\":\"serial\",\"repeat\":\"token\","
-            + "\"group\":\"all\",\"dedup_window_ms\":6000.0,\"fifo_by_key\":true,\"worth\":1.0,\"late_worth\":0.4,"
+            + "\"group\":\"all\",\"dedup_window_ms\":" + memoryMs + ".0,\"fifo_by_key\":true,\"worth\":1.0,\"late_worth\":0.4,"
             + "\"on_time_ms\":3000.0,\"give_up_ms\":20000.0}],"
             + "\"tenants\":[{\"name\":\"acme\",\"quota_per_s\":10.0,\"portion\":1.0}]}}";
     }
