--- a/decisions/src/main/java/yewpath/Egress.java
+++ b/decisions/src/main/java/yewpath/Egress.java
@@ -14,8 +14,11 @@
     /** As BROKEN, without a byte of an answer, on a connection kept from an earlier call. */
     int STALE = 8;
 
-    /** {@code withinMicros} of 0 leaves the shot out until the envelope's expiry. */
-    void send(int envelope, int endpoint, long withinMicros);
+    /**
+     * {@code withinMicros} of 0 leaves the shot out until the envelope's expiry. What has not left whole when the clock
+     * says {@code leaveBy} is not sent any more, and told as MOOT: its time, or that in which a repeat is known, is over.
+     */
+    void send(int envelope, int endpoint, long withinMicros, long leaveBy);
 
     void defer(int envelope, long pauseMicros);
 
--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -767,7 +767,7 @@
     private void send(Envelope e, Call call) {
         unhold(e);
         int at = call.endpoint;
-        out.send(e.id, at, patience(e, at));
+        out.send(e.id, at, patience(e, at), e.giveUpAt);
         credit[at] = max(0, credit[at] - min(1, e.shots));
         e.shots++;
         e.call = call;
@@ -781,9 +781,9 @@
      * Guards against calls without answer holding the slots that others need: the design leaves a sick
      * destination half of them. Harms once-only envelopes that would be answered.
      */
-    private void callOff() {
+    private void callOff(boolean maySend) {
         int wanted = max(1, slots / 4) - (slots - slotsOut);
-        if (wanted <= 0 || !mayCancel) {
+        if (wanted <= 0 || !mayCancel || !maySend) {
             return;
         }
         boolean othersWait = ready.stream().anyMatch(d -> !isSick(d) && room(d) > 0);
@@ -1004,14 +1004,14 @@
         alarmAt = now < alarmAt ? alarmAt : NEVER;
     }
 
-    /** Closes a round: what time alone decides, then whatever may go out goes. */
-    public void turn() {
+    /** Closes a round: what time alone decides, then, where the caller can still send, whatever may go out goes. */
+    public void turn(boolean maySend) {
         turns++;
         while (!dues.isEmpty() && dues.peek().at <= now) {
             dues.poll().act.run();
         }
-        dispatch();
-        callOff();
+        dispatch(maySend);
+        callOff(maySend);
         if (!dues.isEmpty() && alarmAt > dues.peek().at) {
             alarmAt = dues.peek().at;
             out.alarm(alarmAt - now);
@@ -1025,8 +1025,8 @@
         }
     }
 
-    private void dispatch() {
-        while (!ready.isEmpty() && slotsOut < slots) {
+    private void dispatch(boolean maySend) {
+        while (maySend && !ready.isEmpty() && slotsOut < slots) {
             Destination d = slots - slotsOut < ready.size() ? dearest() : ready.pollFirst();
             d.ready = false;
             if (d.held == 0 || offer(d)) {
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -181,7 +181,7 @@
             if (w.length > 1) {
                 one(w, named);
             }
-            logic.turn();
+            logic.turn(true);
         }
 
         private void reach(long to) {
@@ -189,7 +189,7 @@
                 now = alarms.pollFirst();
                 logic.at(now);
                 logic.due();
-                logic.turn();
+                logic.turn(true);
             }
             now = to;
             logic.at(now);
@@ -252,7 +252,7 @@
         }
 
         @Override
-        public void send(int envelope, int endpoint, long withinMicros) {
+        public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
             shots.merge(envelope, 1, Integer::sum);
             shotAt.put(envelope, endpoint);
             sentAt.put(envelope, now);
--- a/lab/src/main/java/yewpath/lab/Footprint.java
+++ b/lab/src/main/java/yewpath/lab/Footprint.java
@@ -37,7 +37,7 @@
         int[] sentTo = {-1};
         Logic logic = new Logic(settings, 1, new Egress() {
             @Override
-            public void send(int envelope, int endpoint, long withinMicros) {
+            public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
                 sentTo[0] = endpoint;
             }
 
@@ -68,25 +68,25 @@
             logic.listed(i, 0, 0, i, 0, 1_000, 0);
         }
         logic.listEnds();
-        logic.turn();
+        logic.turn(true);
         for (int i = 0; i < envelopes; i++) {
             clock[0] += 2_000;
             logic.at(clock[0]);
             sentTo[0] = -1;
             // The index is used again, as relays do: what is counted is what is kept beyond the envelope.
             logic.taken(0, 0, -1, destinations == 1 ? i : -1, i % destinations, clock[0] + 8 * SECOND, 0, -1, 0);
-            logic.turn();
+            logic.turn(true);
             if (sentTo[0] >= 0) {
                 logic.settled(0, true, 0, sentTo[0], Egress.FULFILLED, 0, 1_000, Double.NaN, Double.NaN);
             }
             logic.due();
-            logic.turn();
+            logic.turn(true);
         }
         for (int second = 0; second < 60; second++) {
             clock[0] += SECOND;
             logic.at(clock[0]);
             logic.due();
-            logic.turn();
+            logic.turn(true);
         }
         say.printf(Locale.ROOT, "| %s | %d | %.0f |%n", what, count, (used() - before) / (double) count);
         // Kept reachable until its heap was counted.
--- a/lab/src/main/java/yewpath/lab/policy/LogicPolicy.java
+++ b/lab/src/main/java/yewpath/lab/policy/LogicPolicy.java
@@ -56,6 +56,6 @@
 
     @Override
     public void turn() {
-        logic.turn();
+        logic.turn(true);
     }
 }
--- a/lab/src/main/java/yewpath/lab/policy/Textbook.java
+++ b/lab/src/main/java/yewpath/lab/policy/Textbook.java
@@ -350,7 +350,7 @@
                 lane.out++;
                 calls[one.endpoint]++;
                 slotsOut++;
-                out.send(one.id, one.endpoint, within(one));
+                out.send(one.id, one.endpoint, within(one), Long.MAX_VALUE);
             }
         }
         if (!usable.isEmpty() && !lane.line.isEmpty()) {
--- a/lab/src/main/java/yewpath/lab/world/RelayHost.java
+++ b/lab/src/main/java/yewpath/lab/world/RelayHost.java
@@ -188,7 +188,7 @@
     // ---- Calls
 
     @Override
-    public void send(int envelope, int endpoint, long withinMicros) {
+    public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
         Envelope e = held[envelope];
         Shot shot = new Shot(e, world.stations[endpoint], this, envelope, e.shots++, calendar.now());
         shotsOut[envelope]++;
--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -22,6 +22,9 @@
 
         long expiry();
 
+        /** What has not left whole by then is taken back. */
+        long leaveBy();
+
         /** Just before the call's bytes leave. */
         void leaving();
 
@@ -35,6 +38,7 @@
     final Caller caller;
     private final Cargo[] cargo;
     private final Loop.Timer[] timers;
+    private final Loop.Timer[] leaveTimers;
     private final List<String> reportFields;
     /** What this call's answer told of the endpoint's load; none where no answer came. */
     private double left = Double.NaN;
@@ -52,12 +56,14 @@
         this.caller = caller;
         this.cargo = cargo.toArray(Cargo[]::new);
         timers = new Loop.Timer[this.cargo.length];
+        leaveTimers = new Loop.Timer[this.cargo.length];
         open = this.cargo.length;
         for (int i = 0; i < timers.length; i++) {
             Cargo one = this.cargo[i];
             // An envelope sent alone may come again only once this call is over: several end together, but
             // none after its expiry.
             timers[i] = loop.after(Math.min(endsAt, one.expiry()) - loop.now(), () -> giveUp(one, Egress.TIMEOUT));
+            leaveTimers[i] = loop.after(one.leaveBy() - loop.now(), this::takeBackIfLate);
         }
     }
 
@@ -71,7 +77,33 @@
         endAll(Egress.MOOT, 0, false);
     }
 
+    /**
+     * Guards against a connection slow to come up: a repeat that arrives when the first shot is forgotten has its effect
+     * twice. Several go as one, so what is too late for one of them is not sent.
+     */
+    private boolean takeBackIfLate() {
+        for (int i = 0; i < cargo.length; i++) {
+            if (timers[i] != null && loop.now() >= cargo[i].leaveBy() && !caller.isSent()) {
+                takeBack();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What went wrong while it was put together or sent: it ends like any other, and its envelopes are not kept for good. */
+    void fault() {
+        boolean left = caller.hasLeft();
+        caller.drop();
+        endAll(left ? Egress.BROKEN : Egress.MOOT, 0, false);
+    }
+
     private void giveUp(Cargo one, int outcome) {
+        // The answer may lie in the socket, written in time and not read yet.
+        caller.look();
+        if (isOver(one)) {
+            return;
+        }
         if (saidDelivered()) {
             caller.close();
             return;
@@ -89,10 +121,20 @@
         end(one, outcome, 0, false);
     }
 
+    private boolean isOver(Cargo one) {
+        for (int i = 0; i < cargo.length; i++) {
+            if (cargo[i] == one) {
+                return timers[i] == null;
+            }
+        }
+        return true;
+    }
+
     private void end(Cargo one, int outcome, long wait, boolean over) {
         for (int i = 0; i < cargo.length; i++) {
             if (cargo[i] == one && timers[i] != null) {
                 timers[i].callOff();
+                leaveTimers[i].callOff();
                 timers[i] = null;
                 open--;
                 one.ended(outcome, wait, over, left, limit);
@@ -113,10 +155,14 @@
     }
 
     @Override
-    public void leaving() {
+    public boolean leaving() {
+        if (takeBackIfLate()) {
+            return false;
+        }
         for (Cargo one : cargo) {
             one.leaving();
         }
+        return true;
     }
 
     /**
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.http.Caller;
 import yewpath.http.Writer;
 import yewpath.json.Tokens;
@@ -23,6 +25,7 @@
     private final Limits limits;
     private final List<String> reportFields;
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
+    /** Where calls to each endpoint go; null where none may. */
     private InetSocketAddress[] addresses = new InetSocketAddress[32];
     private int links;
     private final Set<Call> callsOut = new LinkedHashSet<>();
@@ -46,26 +49,39 @@
         if (endpoint >= addresses.length) {
             addresses = Arrays.copyOf(addresses, endpoint * 2);
         }
-        if (addresses[endpoint] != null && !addresses[endpoint].equals(address)) {
-            closeIdle(endpoint);
+        if (!address.equals(addresses[endpoint])) {
+            shut(endpoint);
         }
         addresses[endpoint] = address;
     }
 
+    /**
+     * Nothing new may go to an endpoint that drains, is gone, or stands elsewhere now. Guards against calls whose connection
+     * is still to come up, which would leave long after that was told, and against connections that lie idle, or will once
+     * their call is over, and would be used for what the list has under this index later.
+     */
+    public void shut(int endpoint) {
+        addresses[endpoint] = null;
+        takeBackUnsent(endpoint);
+        closeIdle(endpoint);
+    }
+
     /** Sends envelopes as one call that ends {@code endsAt} at the latest. */
     public Call call(int endpoint, List<Call.Cargo> cargo, long endsAt) {
         long within = Math.max(1, endsAt - loop.now());
         Caller caller = connection(endpoint);
         Call call = new Call(loop, limits, this, endpoint, caller, cargo, endsAt, reportFields);
         callsOut.add(call);
-        caller.ask(cargo.size() == 1 ? single(endpoint, cargo.get(0), within) : bulk(endpoint, cargo, within), call);
+        try {
+            caller.ask(cargo.size() == 1 ? single(endpoint, cargo.get(0), within) : bulk(endpoint, cargo, within), call);
+        } catch (RuntimeException e) {
+            Log.tell(Event.RELAY_FAULT, e);
+            call.fault();
+        }
         return call;
     }
 
-    /**
-     * Nothing new may go to an endpoint that drains or is gone: calls whose connection is still to come up would
-     * leave long after that was told.
-     */
+    /** Calls whose connection is still to come up don't leave. */
     public void takeBackUnsent(int endpoint) {
         for (Call call : new ArrayList<>(callsOut)) {
             if (call.endpoint == endpoint && !call.caller.hasLeft()) {
@@ -138,14 +154,11 @@
         return caller;
     }
 
-    public void forget(int endpoint) {
-        closeIdle(endpoint);
-        addresses[endpoint] = null;
-    }
-
     void over(Call call) {
         callsOut.remove(call);
-        if (!call.caller.isClosed()) {
+        if (!call.caller.address().equals(addresses[call.endpoint])) {
+            call.caller.close();
+        } else if (!call.caller.isClosed()) {
             idle.addLast(new Idle(call.caller, call.endpoint, loop.now()));
             sweepLater();
         }
--- a/relay/src/main/java/yewpath/http/Caller.java
+++ b/relay/src/main/java/yewpath/http/Caller.java
@@ -13,8 +13,10 @@
 public final class Caller implements Link.Owner {
     /** What follows a request, exactly one of {@code whole} and {@code failed} at last. */
     public interface Answer {
-        /** Runs just before the first byte leaves. */
-        default void leaving() { }
+        /** Runs just before the first byte leaves; false where none is to leave any more, and whoever asked knows. */
+        default boolean leaving() {
+            return true;
+        }
 
         /** Some of a body has come; it may be taken out of the parser. */
         default void part(Parser answer) { }
@@ -37,6 +39,7 @@
     private byte[] request;
     private boolean closed;
     private boolean kept;
+    private boolean left;
     private Runnable afterEnd = () -> { };
 
     public Caller(Loop loop, Limits limits, InetSocketAddress address, int bodyMost) {
@@ -53,6 +56,7 @@
 
     public void ask(byte[] bytes, Answer then) {
         request = bytes;
+        left = false;
         answer = then;
         parser.next();
         if (link != null) {
@@ -80,9 +84,12 @@
     }
 
     private void send() {
-        answer.leaving();
+        if (!answer.leaving()) {
+            return;
+        }
         byte[] bytes = request;
         request = null;
+        left = true;
         link.write(bytes);
     }
 
@@ -111,12 +118,12 @@
 
     /** Whether the first byte of the request has been written. */
     public boolean hasLeft() {
-        return request == null;
+        return left;
     }
 
     /** Whether the last byte of the request has been written. */
     public boolean isSent() {
-        return link != null && request == null && link.allWritten();
+        return left && link.allWritten();
     }
 
     @Override
@@ -164,6 +171,17 @@
         }
     }
 
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Reads what has come by now, which may end what is asked. */
+    public void look() {
+        if (link != null) {
+            link.look();
+        }
+    }
+
     public boolean isClosed() {
         return closed;
     }
--- a/relay/src/main/java/yewpath/relay/Endpoints.java
+++ b/relay/src/main/java/yewpath/relay/Endpoints.java
@@ -104,7 +104,7 @@
         routes[at] = apart ? -1 - at : to;
         delivery.place(at, address);
         if (phase != UP) {
-            delivery.takeBackUnsent(at);
+            delivery.shut(at);
         }
         if (Log.tells(Event.ENDPOINT_LISTED)) {
             Log.tell(Event.ENDPOINT_LISTED, id, address, destination, phase == UP ? "up" : phase == 1 ? "draining" : "removed");
@@ -115,12 +115,12 @@
     void forget(int endpoint) {
         known.clear(endpoint);
         ids.letGo(endpoint);
-        delivery.forget(endpoint);
+        delivery.shut(endpoint);
     }
 
     @Override
     public void ends() {
-        unnamed.stream().forEach(delivery::takeBackUnsent);
+        unnamed.stream().forEach(delivery::shut);
         logic.listEnds();
     }
 }
--- a/relay/src/main/java/yewpath/relay/Held.java
+++ b/relay/src/main/java/yewpath/relay/Held.java
@@ -17,6 +17,8 @@
     /** With those of an earlier life, as Logic counts them. */
     int shots;
     int shotsOut;
+    /** When the shot that is out must have left, by Logic's word. */
+    long leaveBy;
     /** The call that is out, and what of it is this envelope's. */
     Call call;
     Call.Cargo cargo;
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -133,9 +133,8 @@
         long now = loop.now();
         logic.at(now);
         loop.playGathered();
-        if (closing.mayShoot(now) && !listIsOld(now)) {
-            Loop.safely(logic::turn);
-        }
+        boolean maySend = closing.mayShoot(now) && !listIsOld(now);
+        Loop.safely(() -> logic.turn(maySend));
         joining.clear();
         flush();
         answerClients();
@@ -232,16 +231,19 @@
 
     /** The first thing to leave in a round: that envelopes handed in are taken on. */
     private void answerClients() {
-        for (Held one : taken) {
-            Reply reply = one.reply;
-            one.reply = null;
-            if (!one.over && !reply.with(202, 0)) {
-                // It may hand the envelope in again under another id.
-                one.left = true;
-                loop.gather(() -> withdraw(one));
-            }
-        }
+        List<Held> due = List.copyOf(taken);
         taken.clear();
+        due.forEach(one -> Loop.safely(() -> answerClient(one)));
+    }
+
+    private void answerClient(Held one) {
+        Reply reply = one.reply;
+        one.reply = null;
+        if (!one.over && !reply.with(202, 0)) {
+            // It may hand the envelope in again under another id.
+            one.left = true;
+            loop.gather(() -> withdraw(one));
+        }
     }
 
     private void withdraw(Held one) {
@@ -256,8 +258,9 @@
     // ---- Delivery
 
     @Override
-    public void send(int envelope, int endpoint, long withinMicros) {
+    public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
         Held one = envelopes.at(envelope);
+        one.leaveBy = leaveBy;
         one.shotsOut++;
         one.shots++;
         long endsAt = withinMicros > 0 ? Math.min(one.entry.expiry, loop.now() + withinMicros) : one.entry.expiry;
@@ -324,6 +327,11 @@
             return one.entry.expiry;
         }
 
+        @Override
+        public long leaveBy() {
+            return one.leaveBy;
+        }
+
         @Override
         public void leaving() {
             ledger.shot(one.entry, loop.now(), endpoints.zone(endpoint));
--- a/relay/src/main/java/yewpath/wirehost/Instance.java
+++ b/relay/src/main/java/yewpath/wirehost/Instance.java
@@ -107,7 +107,7 @@
     }
 
     @Override
-    public void send(int envelope, int endpoint, long withinMicros) {
+    public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
         shotsOut[envelope]++;
         actions.append("SEND\t").append(envelopes.name(envelope)).append('\t')
             .append(endpoints.name(endpoint)).append('\t');
--- a/relay/src/main/java/yewpath/wirehost/WireHost.java
+++ b/relay/src/main/java/yewpath/wirehost/WireHost.java
@@ -94,7 +94,7 @@
         }
         for (Map.Entry<Integer, Instance> entry : touched.entrySet()) {
             try {
-                entry.getValue().logic.turn();
+                entry.getValue().logic.turn(true);
             } catch (RuntimeException e) {
                 fatal = fatal == null ? told(e) : fatal;
             }
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -10,13 +10,17 @@
 
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -171,7 +175,7 @@
             new Class<?>[] {Call.Cargo.class}, (proxy, method, args) -> switch (method.getName()) {
                 case "id" -> "q" + outcomes.get();
                 case "body" -> new byte[0];
-                case "expiry" -> loop.now() + 5_000_000;
+                case "expiry", "leaveBy" -> loop.now() + 5_000_000;
                 case "ended" -> outcomes.addAndGet((int) args[0] == Egress.FULFILLED ? 1 : 100);
                 case "equals" -> proxy == args[0];
                 default -> null;
@@ -386,6 +390,106 @@
             "" + stand.notices);
     }
 
+    @Test
+    public void aConnectionIsNotKeptToWhereItsEndpointNoLongerStands() throws Exception {
+        CountDownLatch moved = new CountDownLatch(1);
+        Stand.Server before = stand.endpoint(1, got -> {
+            try {
+                moved.await();
+            } catch (InterruptedException e) {
+                return CUT;
+            }
+            return OK;
+        });
+        Stand.Server after = new Stand.Server(got -> OK);
+        stand.start();
+        assertEquals(stand.handIn("m1", "status", 1, 7900), 202);
+        until("it is out", 2000, () -> before.got.size() == 1);
+        stand.tell(false, stand.entry("e1", after.address(), 1, "plain", "up"), stand.entry("e2", after.address(), 2, "plain", "up"));
+        until("the move is known", 2000, () -> stand.handIn("n" + System.nanoTime(), "status", 2, 7900) == 202);
+        assertEquals(stand.handIn("m2", "status", 1, 7900), 202);
+        until("the next goes to where it stands now", 2000, () -> after.got.stream().anyMatch(g -> "m2".equals(g.id())));
+        until("it is delivered", 2000, () -> stand.figure("calls_out") == 1);
+        moved.countDown();
+        until("the first is delivered too", 2000, () -> stand.figure("calls_out") == 0);
+        assertEquals(stand.handIn("m3", "status", 1, 7900), 202);
+        until("the third is delivered", 2000, () -> after.got.stream().anyMatch(g -> "m3".equals(g.id())) || before.got.size() > 1);
+        assertEquals(before.got.size(), 1, "it went where the endpoint stood before");
+        after.close();
+    }
+
+    @Test
+    public void aConnectionOfACallThatOutlivedADrainIsNotUsedOn() throws Exception {
+        CountDownLatch drains = new CountDownLatch(1);
+        Stand.Server endpoint = stand.endpoint(1, got -> {
+            try {
+                drains.await();
+            } catch (InterruptedException e) {
+                return CUT;
+            }
+            return OK;
+        });
+        Stand.Server other = stand.endpoint(2, got -> OK);
+        stand.start();
+        assertEquals(stand.handIn("d1", "order", 1, 9000), 202);
+        until("it is out", 2000, () -> endpoint.got.size() == 1);
+        stand.tell(false, stand.entry("e1", endpoint.address(), 1, "plain", "draining"), stand.entry("e3", other.address(), 3, "plain", "up"));
+        until("the drain is known", 2000, () -> stand.handIn("n" + System.nanoTime(), "status", 3, 7900) == 202);
+        drains.countDown();
+        until("it is delivered", 2000, () -> stand.figure("fulfilled") >= 2);
+        stand.tell(false, stand.entry("e1", endpoint.address(), 1, "plain", "up"));
+        assertEquals(stand.handIn("d2", "order", 1, 9000), 202);
+        until("it is delivered after the return", 4000, () -> endpoint.got.size() == 2);
+        assertEquals(endpoint.got.get(1).connection, 2, "on a connection from before the drain");
+    }
+
+    /**
+     * The connection of a repeat comes up when the first shot, which may have run, is forgotten: the endpoint takes one
+     * connection, lets its queue fill up, cuts, and takes the others in only after the repeat's time.
+     */
+    @Test
+    public void aRepeatWhoseConnectionComesUpTooLateIsNotSent() throws Exception {
+        stand.memoryMs = 1_000;
+        stand.connectTimeoutMs = 3_000;
+        List<String> got = new CopyOnWriteArrayList<>();
+        CountDownLatch forgotten = new CountDownLatch(1);
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            stand.listed("e1", "127.0.0.1:" + listener.getLocalPort(), 1);
+            Thread server = new Thread(() -> {
+                try (Socket first = listener.accept()) {
+                    got.add(Stand.read(first.getInputStream(), 1).id());
+                    List<Socket> filling = Stand.fill(listener);
+                    first.close();
+                    forgotten.await();
+                    for (Socket socket : filling) {
+                        socket.close();
+                    }
+                    while (true) {
+                        try (Socket later = listener.accept()) {
+                            Stand.Got request = Stand.read(later.getInputStream(), 2);
+                            if (request != null) {
+                                got.add(request.id());
+                            }
+                        }
+                    }
+                } catch (IOException | InterruptedException over) {
+                    return;
+                }
+            });
+            server.setDaemon(true);
+            server.start();
+            stand.start();
+            assertEquals(stand.handIn("t1", "serial", 1, 9000), 202);
+            until("it has come once", 2000, () -> got.size() == 1);
+            Stand.pause(1_000);
+            forgotten.countDown();
+            until("it has its end, or comes again", 5000, () -> stand.ended("t1", "") || got.size() == 2);
+            Stand.pause(1_500);
+            assertEquals(got, List.of("t1"), "it came again when nobody knew it any more");
+            assertTrue(stand.ended("t1", ""));
+        }
+    }
+
     @Test
     public void severalInOneCallEachHaveTheirEnd() throws Exception {
         Stand.Server endpoint = stand.endpoint("e1", 1, "bundled", got -> OK);
