Closing: what runs out late has its end, notices under way are waited for, refusals are read on

A client's half-close while its refusal is still to be written no longer closes the connection under it.

--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -97,16 +97,20 @@
         }
     }
 
-    /** The last that is done for it: what it has sent a part of is refused. One whose answer is due has it in the next round. */
+    /**
+     * The last that is done for it: what it has sent a part of is refused, and read on like any other that was. One whose
+     * answer is due has it in the next round.
+     */
     void end() {
         link.look();
-        if (answering) {
+        if (answering || leaving || link.isClosed()) {
             return;
         }
-        if (!leaving && !link.isClosed() && !isBetween()) {
+        if (isBetween()) {
+            close();
+        } else {
             refuse(503);
         }
-        close();
     }
 
     @Override
@@ -145,6 +149,10 @@
 
     @Override
     public void over(boolean broken) {
+        if (!broken && leaving && !link.allWritten()) {
+            // It has ended its sending only, and may still read its answer; who doesn't is closed when its time is up.
+            return;
+        }
         // A client ends its connection when it waits no longer: a request whose answer is due is then void.
         close();
     }
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -63,6 +63,11 @@
         return owed.size();
     }
 
+    /** Whether the platform is being told, and has not failed to hear the last time. */
+    public boolean isTelling() {
+        return busy && pause == null && backoff == 0;
+    }
+
     private void next() {
         if (busy || owed.isEmpty()) {
             return;
--- a/relay/src/main/java/yewpath/relay/Closing.java
+++ b/relay/src/main/java/yewpath/relay/Closing.java
@@ -18,7 +18,7 @@
         REFUSING,
         /**
          * Connections at rest are closed while others may still come: who meant to use one comes on a new one. Left
-         * when no call is out and no shot can begin, or after closing.most.
+         * when no call is out, no notice is under way and no shot can begin, or after closing.most.
          */
         FINISHING,
         /** Who has connected is let in, nobody after that; left when each has had its answer and gone, or at the bound. */
@@ -45,15 +45,16 @@
         return !hasBegun() || now - since < limits.drainFresh();
     }
 
-    void begin(Door door, BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch gone) {
+    /** {@code underWay}: calls that are out, and notices that the platform is about to hear. */
+    void begin(Door door, BooleanSupplier underWay, BooleanSupplier held, CountDownLatch gone) {
         if (!hasBegun()) {
             stage = Stage.REFUSING;
             since = loop.now();
-            watch(door, callsOut, held, gone);
+            watch(door, underWay, held, gone);
         }
     }
 
-    private void watch(Door door, BooleanSupplier callsOut, BooleanSupplier held, CountDownLatch gone) {
+    private void watch(Door door, BooleanSupplier underWay, BooleanSupplier held, CountDownLatch gone) {
         long now = loop.now();
         long beat = limits.drainLeast() / 10;
         long closingFor = now - since;
@@ -68,14 +69,15 @@
                 }
             }
             case FINISHING -> {
-                boolean waits = callsOut.getAsBoolean() || held.getAsBoolean() && mayShoot(now);
+                boolean waits = underWay.getAsBoolean() || held.getAsBoolean() && mayShoot(now);
                 if (!waits || closingFor >= limits.drainMost()) {
                     stage = Stage.SHUTTING;
                     door.shut();
                 }
             }
             default -> {
-                if (closingFor >= limits.drainBound() - beat) {
+                // Ahead of the bound, so that who is refused now has read its answer by then.
+                if (closingFor >= limits.drainBound() - 3 * beat) {
                     door.endAll();
                 }
                 if (door.isEmpty() || closingFor >= limits.drainBound()) {
@@ -86,6 +88,6 @@
             }
         }
         loop.ask();
-        loop.after(beat, () -> watch(door, callsOut, held, gone));
+        loop.after(beat, () -> watch(door, underWay, held, gone));
     }
 }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -466,7 +466,7 @@
 
     void close(Door door, CountDownLatch gone) {
         Log.tell(Event.RELAY_CLOSING, envelopes.open(), delivery.callsOut());
-        closing.begin(door, () -> delivery.callsOut() > 0, () -> envelopes.open() > 0, gone);
+        closing.begin(door, () -> delivery.callsOut() > 0 || notices.isTelling(), () -> envelopes.open() > 0, gone);
     }
 
     /** The last words, once closing is done. */
--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -140,6 +140,20 @@
         endsInTime();
     }
 
+    /** Its time is up when shots no longer begin: it is owed its end all the same, and no later life is sure to come. */
+    @Test
+    public void whatRunsOutWhileTheRelayClosesHasItsEnd() throws Exception {
+        stand.endpoint(1, got -> SILENCE);
+        stand.closed(2);
+        stand.start();
+        assertEquals(stand.handIn("out", "order", 1, 9000), 202);
+        until("its call is out", 2000, () -> stand.figure("calls_out") == 1);
+        assertEquals(stand.handIn("held", "status", 2, 2600), 202);
+        stand.process.destroy();
+        until("the platform is told", 3300, () -> stand.ended("held", "handed_back"));
+        endsInTime();
+    }
+
     @Test
     public void askedToEndAtAnyMomentOfAStartNothingTakenIsLost() throws Exception {
         Stand.Server endpoint = stand.endpoint(1, got -> OK);
--- /dev/null
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -0,0 +1,243 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static yewpath.Stand.OK;
+import static yewpath.Stand.SILENCE;
+import static yewpath.Stand.until;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import yewpath.delivery.Call;
+import yewpath.delivery.Delivery;
+import yewpath.intake.Desk;
+import yewpath.intake.Door;
+import yewpath.loop.Limits;
+import yewpath.loop.Loop;
+import yewpath.operator.Operator;
+
+/** Calls and clients' visits on real connections, with the thread that serves them held still at the instant in question. */
+public final class ConnectionsTest {
+    private XnioWorker worker;
+    private Loop loop;
+    private Limits limits;
+    private Delivery delivery;
+
+    @BeforeMethod
+    public void build() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+            .set(Options.WORKER_TASK_CORE_THREADS, 1).getMap());
+        loop = new Loop(worker.getIoThread());
+        limits = new Limits(name -> 0, 2_000_000, 2_000_000, Operator.STANDARD);
+        delivery = new Delivery(loop, limits, List.of());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        worker.shutdownNow();
+    }
+
+    /** One envelope, and how its shots ended. */
+    private final class Cargo implements Call.Cargo {
+        final List<Integer> outcomes = new CopyOnWriteArrayList<>();
+        final String id;
+        final long expiry;
+        final long leaveBy;
+        byte[] body = {'x'};
+
+        Cargo(String id, long expiresIn, long leavesIn) {
+            this.id = id;
+            expiry = loop.now() + expiresIn;
+            leaveBy = loop.now() + leavesIn;
+        }
+
+        @Override
+        public String id() {
+            return id;
+        }
+
+        @Override
+        public String key() {
+            return null;
+        }
+
+        @Override
+        public String tag() {
+            return null;
+        }
+
+        @Override
+        public byte[] body() {
+            if (body == null) {
+                throw new IllegalStateException("no body");
+            }
+            return body;
+        }
+
+        @Override
+        public long expiry() {
+            return expiry;
+        }
+
+        public long leaveBy() {
+            return leaveBy;
+        }
+
+        @Override
+        public void leaving() { }
+
+        @Override
+        public void ended(int outcome, long wait, boolean over, double left, double limit) {
+            outcomes.add(outcome);
+        }
+    }
+
+    private void send(Cargo cargo, InetSocketAddress to) {
+        loop.thread().execute(() -> {
+            delivery.place(0, to);
+            delivery.call(0, List.of(cargo), cargo.expiry);
+        });
+    }
+
+    private static InetSocketAddress at(String address) {
+        return new InetSocketAddress("127.0.0.1", Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+    }
+
+    @Test
+    public void whatHasNotLeftInItsTimeIsTakenBack() throws Exception {
+        try (Stand.Deaf deaf = new Stand.Deaf()) {
+            Cargo cargo = new Cargo("late", 20_000_000, 300_000);
+            send(cargo, at(deaf.address()));
+            until("it is taken back, its connection not up yet", 1_500, () -> cargo.outcomes.size() == 1);
+            assertEquals(cargo.outcomes, List.of(Egress.MOOT));
+        }
+    }
+
+    @Test
+    public void aCallThatCannotBePutTogetherEndsAsNotSent() throws Exception {
+        try (Stand.Server endpoint = new Stand.Server(got -> OK)) {
+            Cargo cargo = new Cargo("faulty", 20_000_000, 20_000_000);
+            cargo.body = null;
+            send(cargo, at(endpoint.address()));
+            until("it has its end", 2_000, () -> cargo.outcomes.size() == 1);
+            assertEquals(cargo.outcomes, List.of(Egress.MOOT));
+            assertEquals(delivery.callsOut(), 0);
+            Cargo next = new Cargo("next", 20_000_000, 20_000_000);
+            send(next, at(endpoint.address()));
+            until("the next goes as ever", 2_000, () -> next.outcomes.equals(List.of(Egress.FULFILLED)));
+        }
+    }
+
+    /** The thread is held from before the answer until after the envelope's time: the timer rings before the socket is read. */
+    @Test
+    public void anAnswerThatLiesInTheSocketAtTheExpiryCounts() throws Exception {
+        try (Stand.Server endpoint = new Stand.Server(got -> SILENCE)) {
+            Cargo cargo = new Cargo("just", 2_500_000, 2_500_000);
+            send(cargo, at(endpoint.address()));
+            until("it is out", 2_000, () -> endpoint.got.size() == 1);
+            CountDownLatch held = new CountDownLatch(1);
+            loop.thread().execute(() -> {
+                try {
+                    endpoint.sockets.get(0).getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
+                } catch (IOException e) {
+                    cargo.outcomes.add(100);
+                }
+                Stand.pause(Math.max(1, (cargo.expiry - loop.now()) / 1000 + 20));
+                held.countDown();
+            });
+            assertTrue(held.await(5, TimeUnit.SECONDS));
+            until("it has its end", 2_000, () -> cargo.outcomes.size() == 1);
+            assertEquals(cargo.outcomes, List.of(Egress.FULFILLED));
+        }
+    }
+
+    private final class Refusing implements Desk {
+        @Override
+        public boolean isClosing() {
+            return false;
+        }
+
+        @Override
+        public boolean knows(String offering) {
+            return true;
+        }
+
+        public boolean knowsDestination(String number) {
+            return true;
+        }
+
+        @Override
+        public byte[] figures() {
+            return new byte[0];
+        }
+
+        @Override
+        public void handIn(String id, String offering, String tenant, String key, String tag, String destination, long within,
+                           byte[] body, Reply reply) {
+            reply.with(503, 0);
+        }
+    }
+
+    /** More than a look can read lies in the socket as the door ends all: closed over it, the answer would go with it. */
+    @Test
+    public void whoHasSentAPartOfMuchReadsItsRefusalToTheEnd() throws Exception {
+        Door door = new Door(loop, limits, new Refusing());
+        InetSocketAddress[] at = new InetSocketAddress[1];
+        CountDownLatch open = new CountDownLatch(1);
+        loop.thread().execute(() -> {
+            try {
+                at[0] = door.open(worker, new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            open.countDown();
+        });
+        assertTrue(open.await(5, TimeUnit.SECONDS));
+        try (Socket client = new Socket(at[0].getAddress(), at[0].getPort())) {
+            client.setSoTimeout(5_000);
+            OutputStream out = client.getOutputStream();
+            out.write("POST /any HTTP/1.1\r\nContent-Length: 65000\r\n\r\n0123456789".getBytes(StandardCharsets.ISO_8859_1));
+            CountDownLatch isIn = new CountDownLatch(1);
+            CountDownLatch written = new CountDownLatch(1);
+            // The head has been read by then: it has come before, and this thread serves it first.
+            Stand.pause(200);
+            loop.thread().execute(() -> {
+                isIn.countDown();
+                try {
+                    written.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                door.endAll();
+            });
+            assertTrue(isIn.await(5, TimeUnit.SECONDS));
+            out.write(new byte[50_000]);
+            written.countDown();
+            assertEquals(Stand.answer(client).status(), 503);
+            assertEquals(client.getInputStream().read(), -1, "a reset");
+            // Closed over unread bytes the connection is reset, which a client that still writes meets first. The channel
+            // goes as its thread selects the next time: it has once a second task has run.
+            for (int i = 0; i < 2; i++) {
+                CountDownLatch round = new CountDownLatch(1);
+                loop.thread().execute(round::countDown);
+                assertTrue(round.await(5, TimeUnit.SECONDS));
+            }
+            out.write(new byte[1_000]);
+        }
+    }
+}
