--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -96,7 +96,7 @@
             String at = "request_classes." + i + ".";
             offerings.of(pairs.getOrDefault(at + "name", "#" + i));
             s.offerings[i] = new Settings.Offering(number(at + "worth"), number(at + "late_worth"),
-                micros(at + "on_time_ms"), micros(at + "give_up_ms"), kind(pairs.get(at + "repeat")),
+                micros(at + "on_time_ms"), micros(at + "give_up_ms"), kind(at + "repeat"),
                 "zone".equals(pairs.get(at + "group")), micros(at + "dedup_window_ms"),
                 yes(at + "fifo_by_key"));
         }
@@ -117,11 +117,12 @@
         }
     }
 
-    private static Settings.Kind kind(String word) {
-        if ("pure".equals(word)) {
-            return Settings.Kind.REPEATABLE;
-        }
-        return "token".equals(word) ? Settings.Kind.TAGGED : Settings.Kind.ONCE_ONLY;
+    /** Of an effect that is not told, or not known, the most careful is taken; who wrote a word is told that it means nothing. */
+    private Settings.Kind kind(String path) {
+        String word = pairs.getOrDefault(path, "side_effect");
+        refuse(!List.of("pure", "token", "side_effect").contains(word), path + " is none of pure, token and side_effect: " + word);
+        return word.equals("pure") ? Settings.Kind.REPEATABLE
+            : word.equals("token") ? Settings.Kind.TAGGED : Settings.Kind.ONCE_ONLY;
     }
 
     /** A share of an envelope's revenue; none where nothing is told. */
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,8 @@
     private final Envelopes envelopes;
     private final Closing closing;
     private final int holdLimit;
+    /** That of envelopes from an earlier life whose offering the settings of this one don't name. */
+    private final int unknownOffering;
     private final boolean tellsPause;
     private final long listBy;
     /** Of this round: envelopes whose clients wait, what Logic asked for, and calls that more may join. */
@@ -74,6 +77,12 @@
         boot = config.boot;
         Limits limits = config.limits;
         Settings settings = boot.settings;
+        unknownOffering = settings.offerings.length;
+        if (ledger.live().stream().anyMatch(entry -> boot.offerings.find(entry.offering) < 0)) {
+            addUnknown(settings);
+        }
+        // A call that finds all connections in use would have none: what Logic may have out is what can be held.
+        settings.slots = Math.min(settings.slots, limits.endpointLinks());
         holdLimit = settings.holdLimit > 0 ? settings.holdLimit : Integer.MAX_VALUE;
         tellsPause = settings.tellsPause;
         envelopes = new Envelopes(settings.settleAfterDoubt);
@@ -105,16 +114,25 @@
         return now < listBy && !watch.hasAnswered();
     }
 
+    /**
+     * Guards against giving up, untried, what an earlier life took on under a name that the settings don't have any more. Of
+     * its kind nothing is known, so it is handled with the most care: sent once, in the order of its key, after the others.
+     */
+    private static void addUnknown(Settings settings) {
+        int last = settings.offerings.length;
+        double revenue = Arrays.stream(settings.offerings).mapToDouble(Settings.Offering::revenue).min().orElse(0);
+        long expiry = Arrays.stream(settings.offerings).mapToLong(Settings.Offering::expiry).max().orElse(0);
+        settings.offerings = Arrays.copyOf(settings.offerings, last + 1);
+        settings.offerings[last] = new Settings.Offering(revenue, revenue, expiry, expiry, Settings.Kind.ONCE_ONLY, false, 0, true);
+    }
+
     private void restore(Entry entry) {
-        int offering = boot.offerings.find(entry.offering);
-        if (entry.noticeOwed || offering < 0) {
-            if (!entry.noticeOwed) {
-                ledger.owed(entry, false, 0);
-            }
+        if (entry.noticeOwed) {
             notices.add(entry);
             return;
         }
-        hand(envelopes.add(entry, loop.now()), offering, boot.zones.of(entry.doubtZone));
+        int offering = boot.offerings.find(entry.offering);
+        hand(envelopes.add(entry, loop.now()), offering < 0 ? unknownOffering : offering, boot.zones.of(entry.doubtZone));
         if (Log.tells(Event.ENVELOPE_RESTORED)) {
             Log.tell(Event.ENVELOPE_RESTORED, entry.id, entry.shots, entry.doubtSince >= 0);
         }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -80,6 +80,32 @@
         until("it goes again all the same", 5000, () -> endpoint.got.size() == 2);
     }
 
+    /** The settings of the next life are another deployment's: no class, tenant, kind or zone has a name of before. */
+    @Test
+    public void whatWasTakenOnUnderNamesNowUnknownIsStillTriedOnce() throws Exception {
+        Stand.Server endpoint = stand.endpoint(1, got -> SILENCE);
+        stand.closed(2);
+        stand.start();
+        assertEquals(stand.handIn("out", "status", 1, 30_000), 202);
+        until("it is out", 2000, () -> endpoint.got.size() == 1);
+        assertEquals(stand.handIn("untried", "order", 2, 30_000), 202);
+        assertEquals(stand.handIn("untold", "status", 2, 30_000), 202);
+        stand.kill();
+        for (String name : List.of("status", "order", "serial", "acme", "plain", "bundled", "z")) {
+            stand.renamed.put(name, "other-" + name);
+        }
+        Stand.Server there = new Stand.Server(got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+        stand.listed("e2", there.address(), 2);
+        stand.start();
+        until("each untried one is tried", 3000, () -> there.got.size() == 2);
+        until("once, for all that is known of it", 2000, () -> stand.ended("untried", "given_up") && stand.ended("untold", "given_up"));
+        until("what was out may have run", 2000, () -> stand.ended("out", "given_up"));
+        assertEquals(endpoint.got.size() + there.got.size(), 3);
+        assertEquals(stand.handIn("fresh", "other-status", 2, 7900), 202);
+        assertEquals(stand.handIn("stale", "status", 2, 7900), 404, "a name of the deployment before");
+        there.close();
+    }
+
     @Test
     public void aCallThatWasOutMayHaveRun() throws Exception {
         Stand.Server endpoint = stand.endpoint(1, got -> SILENCE);
--- a/relay/src/test/java/yewpath/SettingsTest.java
+++ b/relay/src/test/java/yewpath/SettingsTest.java
@@ -54,9 +54,39 @@
         assertEquals(told.fees.length, 1);
     }
 
+    /** Two deployments, one after the other in one process: neither knows a name of the other. */
+    @Test
+    public void ofOneDeploymentNothingIsLeftInTheNext() throws Exception {
+        Boot first = read("\"zones\"", "\"zones\"").boot;
+        Path file = Files.createTempFile("yewpath", ".json");
+        Boot second;
+        try {
+            second = Config.read(Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"state\":\"s\","
+                + "\"limits\":{\"memory_mb\":96,\"sockets\":300,\"disk_mb\":1},\"settings\":{\"balancers\":7,\"zones\":[\"q1\",\"q2\"],\"kinds\":[\"k1\"],"
+                + "\"family_info\":{\"max_calls\":3},\"tenants\":[{\"name\":\"t1\",\"quota_per_s\":1.0,\"portion\":1.0}],\"request_classes\":["
+                + "{\"name\":\"c1\",\"repeat\":\"token\",\"dedup_window_ms\":1000,\"worth\":5,\"late_worth\":0,\"on_time_ms\":10,\"give_up_ms\":20}]}}")
+                .toString(), null, Map.of()).boot;
+        } finally {
+            Files.delete(file);
+        }
+        assertEquals(second.offerings.find("c1"), 0);
+        assertEquals(second.settings.offerings.length, 1);
+        assertEquals(second.settings.offerings[0].kind(), Settings.Kind.TAGGED);
+        assertEquals(second.settings.offerings[0].memory(), 1_000_000);
+        assertEquals(second.zones.find("here") + second.kinds.find("plain") + second.tenants.find("demo"), -3);
+        for (int i = 0; i < first.settings.offerings.length; i++) {
+            assertEquals(second.offerings.find(first.offerings.name(i)), -1, first.offerings.name(i));
+        }
+        Boot again = read("\"zones\"", "\"zones\"").boot;
+        assertEquals(again.settings.offerings, first.settings.offerings);
+        assertEquals(again.offerings.find("c1"), -1);
+        assertEquals(again.settings.slots, first.settings.slots);
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
+            {"\"repeat\": \"pure\"", "\"repeat\": \"maybe\"", "request_classes.0.repeat is none of pure, token and side_effect: maybe"},
             {"\"zones\"", "\"locality\": \"moon\", \"zones\"", "locality: no such name in zones: moon"},
             {"\"zones\"", "\"locality\": \"here\", \"prices\": {\"cross_zone\": \"dear\"}, \"zones\"",
                 "prices.cross_zone is not a number: dear"},
