On an ordered key nothing goes before the end ahead of it is heard and its call is over

Ruled out: the order of the ledger (the first is restored first), a late shot of the first (none in this life). So Logic's order holds, but what it has ended is over for others only when the platform has heard. At fault: Relay.finish and Shot.ended, which let the key go on at once. KeyOrder holds what follows, as a call not begun, which time, drain, told wait and Logic take back like any that has not left. Tests, red on and green now: RestartTest.whatFollowsOnAKeyWaitsUntilTheEndAheadOfItIsHeard, DeliveryTest.whatFollowsOnAKeyWaitsForTheCallThatTheOneAheadIsStillPartOf.

--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -29,6 +29,9 @@
         void leaving();
 
         void ended(int outcome, long wait, boolean over, double left, double limit);
+
+        /** After all of the call have ended: it is out no more. */
+        void callOver();
     }
 
     private final Loop loop;
@@ -45,6 +48,7 @@
     private double limit = Double.NaN;
     private int open;
     private Loop.Timer restWithin;
+    private boolean begun;
 
     Call(Loop loop, Limits limits, Delivery delivery, int endpoint, Caller caller, List<Cargo> cargo, long endsAt,
          List<String> reportFields) {
@@ -71,6 +75,19 @@
         giveUp(one, Egress.CANCELLED);
     }
 
+    boolean isOver() {
+        return open == 0;
+    }
+
+    void begin(byte[] request) {
+        begun = true;
+        caller.ask(request, this);
+    }
+
+    List<Cargo> cargo() {
+        return List.of(cargo);
+    }
+
     /** Ends a call of which the endpoint can't have the whole. */
     void takeBack() {
         caller.drop();
@@ -108,7 +125,7 @@
             caller.close();
             return;
         }
-        if (!caller.isSent() && (outcome == Egress.CANCELLED || loop.now() >= one.expiry())) {
+        if (!begun || !caller.isSent() && (outcome == Egress.CANCELLED || loop.now() >= one.expiry())) {
             // Nothing of it has arrived whole: a once-only envelope is not in doubt for a connection slow to open.
             takeBack();
             return;
@@ -143,6 +160,9 @@
                         restWithin.callOff();
                     }
                     delivery.over(this);
+                    for (Cargo each : cargo) {
+                        each.callOver();
+                    }
                 }
             }
         }
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -68,17 +68,35 @@
 
     /** Sends envelopes as one call that ends {@code endsAt} at the latest. */
     public Call call(int endpoint, List<Call.Cargo> cargo, long endsAt) {
-        long within = Math.max(1, endsAt - loop.now());
-        Caller caller = connection(endpoint);
+        Call call = out(endpoint, connection(endpoint), cargo, endsAt);
+        begin(call, endsAt);
+        return call;
+    }
+
+    /** One that {@link #begin} is to send later; until then it can be taken back like one that has not left. */
+    public Call prepare(int endpoint, List<Call.Cargo> cargo, long endsAt) {
+        return out(endpoint, opened(endpoint), cargo, endsAt);
+    }
+
+    private Call out(int endpoint, Caller caller, List<Call.Cargo> cargo, long endsAt) {
         Call call = new Call(loop, limits, this, endpoint, caller, cargo, endsAt, reportFields);
         callsOut.add(call);
+        return call;
+    }
+
+    /** Does nothing where it has ended meanwhile. */
+    public void begin(Call call, long endsAt) {
+        if (call.isOver()) {
+            return;
+        }
+        long within = Math.max(1, endsAt - loop.now());
+        List<Call.Cargo> cargo = call.cargo();
         try {
-            caller.ask(cargo.size() == 1 ? single(endpoint, cargo.get(0), within) : bulk(endpoint, cargo, within), call);
+            call.begin(cargo.size() == 1 ? single(call.endpoint, cargo.get(0), within) : bulk(call.endpoint, cargo, within));
         } catch (RuntimeException e) {
             Log.tell(Event.RELAY_FAULT, e);
             call.fault();
         }
-        return call;
     }
 
     /** Calls whose connection is still to come up don't leave. */
@@ -145,6 +163,10 @@
         if (links >= limits.endpointLinks() && !idle.isEmpty()) {
             idle.peekFirst().caller.close();
         }
+        return opened(endpoint);
+    }
+
+    private Caller opened(int endpoint) {
         Caller caller = new Caller(loop, limits, addresses[endpoint], limits.bodyMost());
         links++;
         caller.afterEnd(() -> {
@@ -156,7 +178,7 @@
 
     void over(Call call) {
         callsOut.remove(call);
-        if (!call.caller.address().equals(addresses[call.endpoint])) {
+        if (addresses[call.endpoint] == null || !addresses[call.endpoint].equals(call.caller.address())) {
             call.caller.close();
         } else if (!call.caller.isClosed()) {
             idle.addLast(new Idle(call.caller, call.endpoint, loop.now()));
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -55,6 +55,7 @@
     private final Endpoints endpoints;
     private final Watch watch;
     private final Envelopes envelopes;
+    private final KeyOrder keyOrder = new KeyOrder();
     private final Closing closing;
     private final int holdLimit;
     /** That of envelopes from an earlier life whose offering the settings of this one don't name. */
@@ -128,7 +129,7 @@
 
     private void restore(Entry entry) {
         if (entry.noticeOwed) {
-            notices.add(entry);
+            owe(entry);
             return;
         }
         int offering = boot.offerings.find(entry.offering);
@@ -295,16 +296,29 @@
 
     private void shoot(Sending sending) {
         List<Call.Cargo> cargo = new ArrayList<>();
+        List<Held> with = new ArrayList<>();
         for (Held one : sending.carried) {
             one.cargo = new Shot(one, sending.endpoint);
             if (one.left) {
                 one.cargo.ended(MOOT, 0, true, Double.NaN, Double.NaN);
+                one.cargo.callOver();
+            } else if (isOrdered(one.entry) && keyOrder.isHeld(one.entry.key)) {
+                Call waits = delivery.prepare(sending.endpoint, List.of(one.cargo), sending.endsAt);
+                one.call = waits;
+                keyOrder.whenOver(one.entry.key, () -> delivery.begin(waits, sending.endsAt));
             } else {
                 cargo.add(one.cargo);
+                with.add(one);
             }
         }
         Call call = cargo.isEmpty() ? null : delivery.call(sending.endpoint, cargo, sending.endsAt);
-        sending.carried.forEach(one -> one.call = call);
+        with.forEach(one -> one.call = call);
+    }
+
+    /** One of an offering that is not known any more may have been. */
+    private boolean isOrdered(Entry entry) {
+        int offering = boot.offerings.find(entry.offering);
+        return entry.key != null && (offering < 0 || boot.settings.offerings[offering].ordered());
     }
 
     /** An envelope's part in a call, and what its end leaves to be done. */
@@ -362,12 +376,20 @@
         @Override
         public void ended(int outcome, long wait, boolean over, double left, double limit) {
             long elapsed = loop.now() - sentAt;
+            if (isOrdered(one.entry)) {
+                keyOrder.begin(one.entry.key, this);
+            }
             if (wait > 0) {
                 endpoints.waitTold(endpoint);
             }
             loop.gather(() -> settle(outcome, wait, over, elapsed, left, limit));
         }
 
+        @Override
+        public void callOver() {
+            keyOrder.end(this);
+        }
+
         private void settle(int outcome, long wait, boolean over, long elapsed, double left, double limit) {
             if (over && !one.over) {
                 fulfilledEver += outcome == FULFILLED ? 1 : 0;
@@ -453,12 +475,20 @@
             acts.add(() -> reply.with(handedBack ? 503 : 500, pause));
         } else {
             ledger.owed(one.entry, handedBack, pause);
-            acts.add(() -> notices.add(one.entry));
+            acts.add(() -> owe(one.entry));
+        }
+    }
+
+    private void owe(Entry entry) {
+        if (isOrdered(entry)) {
+            keyOrder.begin(entry.key, entry);
         }
+        notices.add(entry);
     }
 
     private void told(Entry entry) {
         ledger.over(entry);
+        keyOrder.end(entry);
         loop.ask();
     }
 
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -94,6 +94,8 @@
             return expiry;
         }
 
+        public void callOver() { }
+
         public long leaveBy() {
             return leaveBy;
         }
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -545,6 +545,37 @@
         endpoint.close();
     }
 
+    /** An envelope whose time runs out in a call of several is still part of it: its key waits until that is over. */
+    @Test
+    public void whatFollowsOnAKeyWaitsForTheCallThatTheOneAheadIsStillPartOf() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Stand.Server endpoint = new Stand.Server(got -> {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                return CUT;
+            }
+            return got.line.contains("bulk") ? body("[{\"id\":\"other\",\"state\":\"done\"},{\"id\":\"ahead\",\"state\":\"done\"}]") : OK;
+        });
+        stand.closed(1);
+        stand.start();
+        assertEquals(stand.handIn("other", "order", 1, 15_000), 202);
+        for (String id : List.of("ahead", "behind")) {
+            String asked = Stand.envelope(id, "serial", 1, id.equals("ahead") ? 1_000 : 15_000, "x");
+            assertEquals(stand.ask(asked.replaceFirst("\r\n", "\r\nAffinity-Key: doc\r\n")).status(), 202);
+        }
+        stand.tell(false, stand.entry("e1", endpoint.address(), 1, "bundled", "up"));
+        until("one call for both", 2000, () -> endpoint.got.size() == 1);
+        until("the one ahead has run out", 3000, () -> stand.ended("ahead", ""));
+        // Longer than a key rests after a shot without outcome.
+        Stand.pause(1_200);
+        assertEquals(endpoint.got.size(), 1, "it went while the one ahead still had a call out");
+        answer.countDown();
+        until("it goes once the call is over", 4000, () -> endpoint.got.size() == 2);
+        assertEquals(endpoint.got.get(1).id(), "behind");
+        endpoint.close();
+    }
+
     @Test
     public void followsTheListAndKeepsItThroughGarbage() throws Exception {
         Stand.Server first = stand.endpoint(1, got -> OK);
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -106,6 +106,32 @@
         there.close();
     }
 
+    /** Nothing goes on a key before the platform has heard that the one ahead of it has ended. */
+    @Test
+    public void whatFollowsOnAKeyWaitsUntilTheEndAheadOfItIsHeard() throws Exception {
+        stand.memoryMs = 1_000;
+        Stand.Server endpoint = stand.endpoint(1, got -> SILENCE);
+        stand.start();
+        assertEquals(stand.ask(keyed("first", 30_000)).status(), 202);
+        until("it is out", 2000, () -> endpoint.got.size() == 1);
+        assertEquals(stand.ask(keyed("second", 30_000)).status(), 202);
+        stand.kill();
+        endpoint.answer = got -> OK;
+        stand.noticeStatus = 0;
+        Stand.pause(1_000);
+        stand.start();
+        until("its end was told, and again", 4000, () -> stand.discovery.posts().size() >= 3);
+        assertEquals(endpoint.got.size(), 1, "it went while the first was not over");
+        stand.noticeStatus = 204;
+        until("it goes once that is heard", 4000, () -> endpoint.got.size() == 2);
+        assertEquals(endpoint.got.get(1).id(), "second");
+        assertTrue(stand.ended("first", "given_up"));
+    }
+
+    private static String keyed(String id, int withinMs) {
+        return Stand.envelope(id, "serial", 1, withinMs, "x").replaceFirst("\r\n", "\r\nAffinity-Key: doc\r\n");
+    }
+
     @Test
     public void aCallThatWasOutMayHaveRun() throws Exception {
         Stand.Server endpoint = stand.endpoint(1, got -> SILENCE);
