Relays back from an outage share one budget: time and arrivals each earn half of it

Found by FleetReturnTest (new): 6 to 110 instances of Logic before one modelled destination that is gone for 14 s and comes back cold, calls of all counted in any span of fall_ms against N + 2 root N + 2. Told apart by leaving one source out after the other: - ramp (0.85 of N by time) and earn (0.85 of N by envelopes that come) were paid out side by side, and each relay began its ramp with a whole call: coldMultiple is half of 0.85 now, and the ramp begins with this relay's part of the 0.15 that neither uses; - a trial after a connect turned away at once came after a pause bound by one and a half even parts, not after this relay's part (2.25 s for all of 30 relays, 13 a second together): trialGap holds for every trial; - with 110 relays at 12 a second most calls came from relays in their first four tries: the first pause is a step longer. Capacity is no limit here: cold, a destination takes half of N.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -149,7 +149,7 @@
         rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
         coldFrom = s.coldFrom > 0 ? s.coldFrom : 0.2;
         coldFor = s.coldFor > 0 ? s.coldFor : 15 * SECOND;
-        coldMultiple = 0.85 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
+        coldMultiple = 0.425 * (s.fallMultiple > 0 ? s.fallMultiple : 2);
         fallFor = s.fallFor > 0 ? s.fallFor : 3 * SECOND;
         settle = s.settleAfterDoubt;
         pauseLimit = s.pauseLimit;
@@ -632,7 +632,7 @@
         boolean ran = outcome != UNREACHED, turnedAway = !ran && elapsed < connectFor;
         int run = Arrays.stream(call.to.endpoints)
             .map(i -> phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0).sum();
-        long pause = (long) pauseAfter(sizeOf(routeOf[at]) / max(1, routeOf[at].members), run);
+        long pause = (long) pauseAfter(sizeOf(routeOf[at]) / max(1, routeOf[at].members), run + 1);
         if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
             // Guards against reading a full connection table, which turns calls away at once, as an outage:
             // it takes a run of failures over all endpoints.
@@ -647,7 +647,7 @@
         ill[at] += 0.2 * (1 - ill[at]);
         if (sickSince[at] >= 0) {
             mayHaveRun[at] |= ran;
-            trialAt[at] = now + min(turnedAway ? pause : NEVER, trialGap(at));
+            trialAt[at] = now + trialGap(at);
         } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
             // one costs more than it loses. An endpoint just back is doubted sooner. A connect that ran into
@@ -680,7 +680,7 @@
     private void back(int at) {
         backSince[at] = now;
         backCap[at] = 1;
-        budget[at] = min(1, 2 * ramp(at, 0) * fallFor / SECOND);
+        budget[at] = min(1, ramp(at, 0) * fallFor / SECOND / 3);
         budgetAt[at] = now;
         ill[at] = badRun[at] = 0;
         well(at);
@@ -695,7 +695,7 @@
 
     /**
      * What this relay may send a second to an endpoint back from an outage: its part, among the relays that
-     * can have met the outage, of what the destination bears and of what the others, who know nothing, send.
+     * can have met it, of half of what the destination bears (arrivals earn the rest) and what others send.
      */
     private double ramp(int at, long since) {
         Route r = routeOf[at];
@@ -1004,7 +1004,7 @@
         alarmAt = now < alarmAt ? alarmAt : NEVER;
     }
 
-    /** Closes a round: what time alone decides, then, where the caller can still send, whatever may go out goes. */
+    /** Closes a round: what time alone decides, then, where the caller can send, whatever may go out goes. */
     public void turn(boolean maySend) {
         turns++;
         while (!dues.isEmpty() && dues.peek().at <= now) {
--- /dev/null
+++ b/decisions/src/test/java/yewpath/FleetReturnTest.java
@@ -0,0 +1,243 @@
+package yewpath;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * All relays of a fleet before one destination that was gone and comes back cold. Each decides for itself; what counts is
+ * what arrives from all of them: in any span of the told length N + 2 root N + 2 calls at most, N being what the settings
+ * allow in it.
+ */
+public final class FleetReturnTest {
+    private static final long MS = 1_000, SECOND = 1_000_000;
+    private static final long GONE = 8 * SECOND, BACK = 22 * SECOND, END = 36 * SECOND;
+    private static final double COLD_FROM = 0.2, MULTIPLE = 2;
+    private static final long COLD_FOR = 9 * SECOND, FALL_FOR = 2 * SECOND;
+
+    private record Event(long at, long order, Runnable act) { }
+
+    /** One relay: Logic, and what it asked for in its last turn. */
+    private static final class Relay implements Egress {
+        final List<int[]> sent = new ArrayList<>();
+        final ArrayDeque<Integer> free = new ArrayDeque<>();
+        Logic logic;
+        int envelopes;
+        long alarmIn = -1;
+
+        int envelope() {
+            return free.isEmpty() ? envelopes++ : free.poll();
+        }
+
+        @Override
+        public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
+            sent.add(new int[] {envelope, endpoint});
+        }
+
+        @Override
+        public void defer(int envelope, long pauseMicros) {
+            free.add(envelope);
+        }
+
+        @Override
+        public void abort(int envelope) {
+            free.add(envelope);
+        }
+
+        @Override
+        public void cancel(int envelope, int shot) { }
+
+        @Override
+        public void close(int endpoint) { }
+
+        @Override
+        public void forget(int endpoint) { }
+
+        @Override
+        public void alarm(long inMicros) {
+            alarmIn = inMicros;
+        }
+
+        @Override
+        public void list(boolean follow) { }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+        Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private long now;
+    private long ordered;
+    /** When calls arrived after the return. */
+    private final List<Long> arrived = new ArrayList<>();
+    private int delivered;
+    /** What the destination can still take at this moment. */
+    private double room;
+    private long roomAt;
+
+    private void at(long time, Runnable act) {
+        events.add(new Event(time, ordered++, act));
+    }
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {
+            // relays, endpoints, calls a second that the destination takes, share of that asked for, turned away at once
+            {6, 1, 40, 0.9, true}, {20, 1, 40, 0.9, true}, {30, 1, 20, 0.9, true}, {24, 2, 60, 1.2, true}, {100, 1, 40, 0.9, true},
+            {20, 1, 40, 1.3, false}, {30, 2, 40, 0.9, false}, {100, 2, 120, 0.9, false}, {110, 1, 12, 0.7, true},
+        };
+    }
+
+    @Test(dataProvider = "fleets")
+    public void togetherTheyKeepToWhatTheSettingsAllow(int relays, int endpoints, double rate, double load, boolean atOnce) {
+        double worst = Double.NEGATIVE_INFINITY;
+        StringBuilder told = new StringBuilder();
+        for (int seed = 1; seed <= 4; seed++) {
+            play(relays, endpoints, rate, load, atOnce, seed);
+            double over = most(rate, told.append("seed ").append(seed).append(": "));
+            worst = Math.max(worst, over);
+        }
+        assertTrue(worst <= 0, told.toString());
+        assertTrue(delivered > 0.3 * rate * (END - BACK) / SECOND, delivered + " delivered after the return");
+    }
+
+    private void play(int relays, int endpoints, double rate, double load, boolean atOnce, int seed) {
+        events.clear();
+        arrived.clear();
+        delivered = 0;
+        now = roomAt = 0;
+        room = 1;
+        SplittableRandom chance = new SplittableRandom(seed);
+        Settings s = new Settings();
+        s.relays = relays;
+        s.slots = 32;
+        s.holdLimit = 400;
+        s.shotLimit = 8;
+        s.mayCancel = true;
+        s.listTellsRate = true;
+        s.tellsPause = true;
+        s.pauseLimit = 3 * SECOND;
+        s.coldFrom = COLD_FROM;
+        s.coldFor = COLD_FOR;
+        s.fallMultiple = MULTIPLE;
+        s.fallFor = FALL_FOR;
+        s.connectTimeout = SECOND;
+        s.connectionIdle = 10 * SECOND;
+        s.routesApart = new boolean[1];
+        s.bundle = new int[] {1};
+        s.offerings = new Settings.Offering[] {new Settings.Offering(1, 0.1, SECOND, 8 * SECOND, Settings.Kind.REPEATABLE, false, 0, false),
+            new Settings.Offering(1, 0.4, 3 * SECOND, 28 * SECOND, Settings.Kind.ONCE_ONLY, false, 0, false)};
+        List<Relay> fleet = new ArrayList<>();
+        for (int i = 0; i < relays; i++) {
+            Relay relay = new Relay();
+            s.self = i;
+            relay.logic = new Logic(s, seed * 1000L + i, relay, 0);
+            relay.logic.listBegins(true, false);
+            for (int e = 0; e < endpoints; e++) {
+                relay.logic.listed(e, 0, 0, 0, 0, rate, 0);
+            }
+            relay.logic.listEnds();
+            fleet.add(relay);
+        }
+        // Some relays are handed more than others, and in clumps.
+        double[] share = new double[relays];
+        for (int i = 0; i < relays; i++) {
+            share[i] = 0.3 + chance.nextDouble() * (chance.nextInt(5) == 0 ? 4 : 1);
+        }
+        double sum = Arrays.stream(share).sum();
+        for (long t = 0; t < END; t += (long) (-Math.log(1 - chance.nextDouble()) * SECOND / (rate * load))) {
+            double pick = chance.nextDouble() * sum;
+            int which = 0;
+            for (; which < relays - 1 && pick >= share[which]; which++) {
+                pick -= share[which];
+            }
+            Relay to = fleet.get(which);
+            int offering = chance.nextInt(2);
+            at(t, () -> {
+                to.logic.at(now);
+                to.logic.taken(to.envelope(), offering, -1, -1, 0, now + s.offerings[offering].expiry(), 0, -1, 0);
+                turn(to, rate, atOnce, chance);
+            });
+        }
+        while (!events.isEmpty() && events.peek().at < END) {
+            Event event = events.poll();
+            now = event.at;
+            event.act.run();
+        }
+    }
+
+    private void turn(Relay relay, double rate, boolean atOnce, SplittableRandom chance) {
+        relay.alarmIn = -1;
+        relay.logic.turn(true);
+        if (relay.alarmIn >= 0) {
+            at(now + relay.alarmIn, () -> {
+                relay.logic.at(now);
+                relay.logic.due();
+                turn(relay, rate, atOnce, chance);
+            });
+        }
+        List<int[]> sent = List.copyOf(relay.sent);
+        relay.sent.clear();
+        for (int[] one : sent) {
+            long began = now;
+            boolean gone = now >= GONE && now < BACK;
+            if (now >= BACK) {
+                arrived.add(now);
+            }
+            boolean full = !gone && !takes(rate);
+            long takes = gone ? atOnce ? 2 * MS : SECOND : full ? 25 * MS : 60 * MS + chance.nextLong(80 * MS);
+            at(now + takes, () -> {
+                relay.logic.at(now);
+                delivered += gone || full || began < BACK ? 0 : 1;
+                relay.logic.settled(one[0], !gone && !full, 0, one[1], gone ? Egress.UNREACHED : full ? Egress.FULL : Egress.FULFILLED, 0,
+                    now - began, Double.NaN, Double.NaN);
+                if (!gone && !full) {
+                    relay.free.add(one[0]);
+                }
+                turn(relay, rate, atOnce, chance);
+            });
+        }
+    }
+
+    /** Whether it takes one more call; refused ones use nothing up. */
+    private boolean takes(double rate) {
+        double warm = now < BACK ? 1 : Math.min(1, COLD_FROM + (1 - COLD_FROM) * (now - BACK) / COLD_FOR);
+        room = Math.min(rate * warm / 2, room + rate * warm * (now - roomAt) / SECOND);
+        roomAt = now;
+        if (room < 1) {
+            return false;
+        }
+        room--;
+        return true;
+    }
+
+    /** How far the fullest span is over what is allowed; below 0 where none is. */
+    private double most(double rate, StringBuilder told) {
+        double worst = Double.NEGATIVE_INFINITY;
+        String fullest = "none";
+        for (int first = 0, last = 0; last < arrived.size(); last++) {
+            while (arrived.get(last) - arrived.get(first) >= FALL_FOR) {
+                first++;
+            }
+            long since = Math.max(0, arrived.get(last) - FALL_FOR - BACK);
+            if (since >= COLD_FOR) {
+                break;
+            }
+            double n = MULTIPLE * rate * (COLD_FROM + (1 - COLD_FROM) * since / COLD_FOR) * FALL_FOR / SECOND;
+            double allowed = n + 2 * Math.sqrt(n) + 2;
+            if (last - first + 1 - allowed > worst) {
+                worst = last - first + 1 - allowed;
+                fullest = String.format("%d calls where %.0f are allowed, %.1f s after the return", last - first + 1, allowed,
+                    (arrived.get(last) - BACK) / 1e6);
+            }
+        }
+        told.append(fullest).append("; ");
+        return worst;
+    }
+}
