A living watch without news answers one who asks for lists; idle clients can't take descriptors

Found by reading: where lists are asked for, Logic asks again each 3 s until a list comes. Of a watch on which nothing has changed only empty lines come, so each relay dropped a living watch and opened another every 3 s, which a directory with many relays may well turn away. An empty line, or a head with nothing after it, is handed on as a list of nothing once a watch.

--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -21,7 +21,7 @@
     private Caller caller;
     private Loop.Timer again;
     private long backoff;
-    private boolean answered;
+    private boolean everAnswered;
 
     /** {@code failed} hears that a watch or a fetch has ended; it may be null where nobody asks by itself. */
     public Watch(Loop loop, Limits limits, InetSocketAddress discovery, long version, Listing.Hearer hearer,
@@ -46,7 +46,7 @@
 
     /** Whether discovery has once told this life what has changed since the list that it started with. */
     public boolean hasAnswered() {
-        return answered;
+        return everAnswered;
     }
 
     /** The list stays in use; what has changed since is asked for at the new address. */
@@ -77,6 +77,7 @@
         private Loop.Timer quiet;
         private final long askedAt = loop.now();
         private boolean headHeard;
+        private boolean answered;
 
         Telling(Caller from, boolean following) {
             this.from = from;
@@ -111,10 +112,25 @@
         /** Where nothing has changed no object follows the head; where something has, it may be apart, and in pieces. */
         private void nothingFollows() {
             if (!from.isClosed() && !values.isInside()) {
-                hasNews();
+                answers();
             }
         }
 
+        /**
+         * It lives and tells no news, which is a list of nothing. Guards against whoever asks for lists taking a watch on
+         * which nothing changes for one that is not answered, and asking for it again and again.
+         */
+        private void answers() {
+            if (!answered) {
+                answered = true;
+                loop.gather(() -> {
+                    hearer.begins(false);
+                    hearer.ends();
+                });
+            }
+            hasNews();
+        }
+
         @Override
         public void whole(Parser answer) {
             quiet.callOff();
@@ -150,11 +166,12 @@
             isAlive();
             // A watch that has lived for longer than the pause before it is no longer one that keeps failing.
             backoff = loop.now() - askedAt > backoff ? 0 : backoff;
-            hasNews();
+            answers();
         }
 
         private void object(byte[] bytes) {
             Listing list = Listing.read(bytes);
+            answered = true;
             isAlive();
             loop.gather(() -> {
                 list.playTo(hearer);
@@ -167,8 +184,8 @@
 
     /** In the round that has played what there was to tell. */
     private void hasNews() {
-        if (!answered) {
-            loop.gather(() -> answered = true);
+        if (!everAnswered) {
+            loop.gather(() -> everAnswered = true);
         }
     }
 
--- a/relay/src/test/java/yewpath/LargeFleetTest.java
+++ b/relay/src/test/java/yewpath/LargeFleetTest.java
@@ -1,6 +1,7 @@
 package yewpath;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static yewpath.Stand.OK;
 import static yewpath.Stand.until;
@@ -8,6 +9,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -17,6 +19,46 @@
 public final class LargeFleetTest extends Stand.Tests {
     private static final int MANY = 1_024;
 
+    /** Descriptors are parted from the start: who only rests can't take those of calls, notices and the watch. */
+    @Test
+    public void idleClientsLeaveRoomForAllElseWhileDiscoveryIsDown() throws Exception {
+        stand.descriptors = 256;
+        stand.limits = ",\"sockets\":256";
+        stand.holdMost = 300;
+        Stand.Server all = new Stand.Server(got -> OK);
+        for (int i = 0; i < 100; i++) {
+            stand.listed("e" + i, all.address(), i);
+        }
+        stand.closed(200);
+        stand.start();
+        stand.newsAfter = -1;
+        stand.noticeStatus = 0;
+        stand.discovery.cutAll();
+        List<Socket> resting = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            Socket socket = stand.connect();
+            resting.add(socket);
+            if (i % 2 == 0) {
+                Stand.ask(socket, "GET /health/live HTTP/1.1\r\n\r\n");
+            }
+        }
+        assertEquals(stand.handIn("held", "status", 200, 900), 202);
+        for (int i = 0; i < 100; i++) {
+            assertEquals(stand.handIn("to" + i, "status", i, 7900), 202);
+        }
+        until("each has its envelope", 5000, () -> all.got.size() == 100);
+        stand.news = "{\"version\":2,\"full\":false,\"servers\":[" + stand.entry("new", all.address(), 300, "plain", "up") + "]}";
+        stand.newsAfter = 0;
+        stand.noticeStatus = 204;
+        until("the list is taken up", 6000, () -> stand.handIn("n" + System.nanoTime(), "status", 300, 7900) == 202);
+        until("the end that was owed is heard", 3000, () -> stand.ended("held", "handed_back"));
+        assertFalse(stand.hasLogged("accept_failed") || stand.hasLogged("endpoint.sick"), "descriptors ran out");
+        for (Socket socket : resting) {
+            socket.close();
+        }
+        all.close();
+    }
+
     @Test
     public void aThousandEndpointsAndRelaysFitTheTightestLimits() throws Exception {
         stand.relays = MANY;
--- a/relay/src/test/java/yewpath/WatchTest.java
+++ b/relay/src/test/java/yewpath/WatchTest.java
@@ -90,6 +90,18 @@
         assertEquals(drained.got.size(), 1, "sent by the old list");
     }
 
+    /** Where lists are asked for, an empty line answers as much as a list: there is no news, and nothing is asked again. */
+    @Test
+    public void aWatchThatLivesWithoutNewsIsNotAskedForAgain() throws Exception {
+        stand.mode = "on_request";
+        stand.endpoint(1, got -> OK);
+        stand.start();
+        until("it was asked for", 2000, () -> stand.watched.size() == 1);
+        // Twice as long as the module waits for an answer.
+        Stand.pause(6_500);
+        assertEquals(stand.watched.size(), 1, "a living watch was dropped and asked for anew");
+    }
+
     /** Discovery returns just after a try to reach it began: what it has is taken up 6 s after that at the latest. */
     @Test
     public void whatDiscoveryHasAtItsReturnIsTakenUpInTime() throws Exception {
