--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -43,6 +44,18 @@
             .collect(Collectors.joining()) + "Content-Length: 0\r\n\r\n";
     }
 
+    /** Answers once the latch lets it. */
+    private static Function<Stand.Got, String> after(CountDownLatch latch, Function<Stand.Got, String> answer) {
+        return got -> {
+            try {
+                latch.await();
+            } catch (InterruptedException e) {
+                return CUT;
+            }
+            return answer.apply(got);
+        };
+    }
+
     private static String body(String json) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + json.length() + "\r\n\r\n" + json;
     }
@@ -393,14 +406,7 @@
     @Test
     public void aConnectionIsNotKeptToWhereItsEndpointNoLongerStands() throws Exception {
         CountDownLatch moved = new CountDownLatch(1);
-        Stand.Server before = stand.endpoint(1, got -> {
-            try {
-                moved.await();
-            } catch (InterruptedException e) {
-                return CUT;
-            }
-            return OK;
-        });
+        Stand.Server before = stand.endpoint(1, after(moved, got -> OK));
         Stand.Server after = new Stand.Server(got -> OK);
         stand.start();
         assertEquals(stand.handIn("m1", "status", 1, 7900), 202);
@@ -421,14 +427,7 @@
     @Test
     public void aConnectionOfACallThatOutlivedADrainIsNotUsedOn() throws Exception {
         CountDownLatch drains = new CountDownLatch(1);
-        Stand.Server endpoint = stand.endpoint(1, got -> {
-            try {
-                drains.await();
-            } catch (InterruptedException e) {
-                return CUT;
-            }
-            return OK;
-        });
+        Stand.Server endpoint = stand.endpoint(1, after(drains, got -> OK));
         Stand.Server other = stand.endpoint(2, got -> OK);
         stand.start();
         assertEquals(stand.handIn("d1", "order", 1, 9000), 202);
@@ -549,14 +548,8 @@
     @Test
     public void whatFollowsOnAKeyWaitsForTheCallThatTheOneAheadIsStillPartOf() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        Stand.Server endpoint = new Stand.Server(got -> {
-            try {
-                answer.await();
-            } catch (InterruptedException e) {
-                return CUT;
-            }
-            return got.line.contains("bulk") ? body("[{\"id\":\"other\",\"state\":\"done\"},{\"id\":\"ahead\",\"state\":\"done\"}]") : OK;
-        });
+        Stand.Server endpoint = new Stand.Server(after(answer, got -> got.line.contains("bulk")
+            ? body("[{\"id\":\"other\",\"state\":\"done\"},{\"id\":\"ahead\",\"state\":\"done\"}]") : OK));
         stand.closed(1);
         stand.start();
         assertEquals(stand.handIn("other", "order", 1, 15_000), 202);
