Calls carry several messages on a recovery ramp, charged by their weight

Symptom: on zone+vast destination 0, a kind with 20 messages a call, came back after 5 s and got 28 to 68 messages a second from all 14 relays for nine seconds while 93 to 148 came; 704 ran out of time there, and in the first second after the ramp 554 went out and were all delivered. Counted from the debug logs of all relays, by destination and second. Ruled out: refusals (12 to 16 a second at most), slots (calls out far below them), late detection (all relays had it by 10.4 s), late return (first answers 0.9 s after it was back). Lines at fault: Logic.offer ended each call of a recovering endpoint after its first message; Logic.earn let each message earn a whole call, though a full call carries twenty.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -286,8 +286,8 @@
         Envelope least = most == null ? null : lastBehind(most);
         for (int i = 0; most != null && i < most.lines.size(); i++) {
             Envelope e = end(most.lines.get(i), i % 2 == 1);
-            least = e == null || least != null && worth(e, now + SECOND) >= worth(least, now + SECOND)
-                ? least : e;
+            boolean more = least != null && e != null && worth(e, now + SECOND) >= worth(least, now + SECOND);
+            least = e == null || more ? least : e;
         }
         if (least != null) {
             finish(least, isSick(most) ? max(SECOND, pauseLimit) : awayFor());
@@ -493,6 +493,8 @@
 
     private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.2,
         LENT = 0.05, ALONE = 5, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 8;
+    // What a further envelope weighs in a call, at most, and the weight that a ramp may run ahead, once warm.
+    private static final double FURTHER = 0.25, DEBT = 2;
 
     private double rateOf(Route r) {
         return r.told > 0 ? r.told : r.listed;
@@ -705,14 +707,15 @@
     }
 
     /**
-     * Each envelope that comes for what is sick or back earns its part of a call. Who sends there at a moment
+     * Each envelope that comes for what is sick or back earns its part of a full call. Who sends there now
      * are a few relays with much for it, by keys and clumps: an even part over all kept these waiting.
      */
     private void earn(Destination d) {
-        d.earned = min(1, d.earned + coldMultiple * coldFrom);
+        double part = coldMultiple * (FURTHER + (1 - FURTHER) / d.bundle);
+        d.earned = min(1, d.earned + part * coldFrom);
         for (int at : d.endpoints) {
             budget[at] += backSince[at] < 0 ? 0
-                : coldMultiple * warm(now - backSince[at]) / max(1, routeOf[at].members);
+                : part * warm(now - backSince[at]) / max(1, routeOf[at].members);
         }
     }
 
@@ -771,6 +774,7 @@
         credit[at] = max(0, credit[at] - min(1, e.shots));
         e.shots++;
         e.call = call;
+        budget[at] -= call.carried.isEmpty() ? 1 : FURTHER;
         call.carried.add(e);
         call.left++;
         call.to.sentUnder++;
@@ -788,8 +792,8 @@
         }
         boolean othersWait = ready.stream().anyMatch(d -> !isSick(d) && room(d) > 0);
         for (Call call : othersWait ? callsOut : List.<Call>of()) {
-            int factor = sickSince[call.endpoint] >= 0 ? 1 : 2;
-            if (now - call.sentAt > factor * max(HOPELESS, 4 * lat[call.endpoint]) && wanted-- > 0) {
+            double hopeless = max(HOPELESS, 4 * lat[call.endpoint]);
+            if (now - call.sentAt > (sickSince[call.endpoint] >= 0 ? 1 : 2) * hopeless && wanted-- > 0) {
                 call.carried.stream().filter(e -> e.call == call && !call.calledOff)
                     .forEach(e -> out.cancel(e.id, e.shots - 1));
                 call.calledOff = true;
@@ -916,10 +920,9 @@
             lat[at] = USUAL_LAT;
             spread[at] = USUAL_LAT / 2;
             credit[at] = 3;
-            sickSince[at] = backSince[at] = -1;
+            sickSince[at] = backSince[at] = lastSend[at] = -1;
             callCap[at] = NO_CAP;
             crowdedAt[at] = -NEVER;
-            lastSend[at] = -1;
             phase[at] = GONE;
             ownerOf[at] = d;
             d.endpoints = copyOf(d.endpoints, d.endpoints.length + 1);
@@ -937,9 +940,7 @@
         }
         zoneOf[at] = zone;
         kindOf[at] = min(kind, kindCrowdedAt.length - 1);
-        if (ratesListed) {
-            routeOf[at].listed = rate;
-        }
+        routeOf[at].listed = ratesListed ? rate : routeOf[at].listed;
         turnPhase(at, phaseNow);
         rouse(d);
     }
@@ -985,15 +986,14 @@
 
     private void grow(int size) {
         routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); kindOf = copyOf(kindOf, size);
-        phase = copyOf(phase, size); lat = copyOf(lat, size);
-        ill = copyOf(ill, size); gap = copyOf(gap, size);
+        phase = copyOf(phase, size); lat = copyOf(lat, size); ill = copyOf(ill, size);
         spread = copyOf(spread, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
         budget = copyOf(budget, size); lastBad = copyOf(lastBad, size); badRun = copyOf(badRun, size);
         calls = copyOf(calls, size); callCap = copyOf(callCap, size); backCap = copyOf(backCap, size);
         sentLast = copyOf(sentLast, size); lastSend = copyOf(lastSend, size);
         mayHaveRun = copyOf(mayHaveRun, size); lastAnswer = copyOf(lastAnswer, size);
         sickSince = copyOf(sickSince, size); backSince = copyOf(backSince, size);
-        trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size);
+        trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size); gap = copyOf(gap, size);
         crowdedAt = copyOf(crowdedAt, size); listNamed = copyOf(listNamed, size);
         listenAt = copyOf(listenAt, size); ownerOf = copyOf(ownerOf, size);
     }
@@ -1103,7 +1103,8 @@
                 call = begin(d, at);
             }
             send(e, call);
-            if (call.carried.size() >= d.bundle || sickSince[at] >= 0 || backSince[at] >= 0) {
+            if (call.carried.size() >= d.bundle || sickSince[at] >= 0
+                || backSince[at] >= 0 && budget[at] < FURTHER - DEBT * warm(now - backSince[at])) {
                 break;
             }
         }
@@ -1136,7 +1137,6 @@
             : gap[at] + (now - sentLast[at] < gap[at] ? 0.7 : 0.3) * (now - sentLast[at] - gap[at]);
         sentLast[at] = now;
         routeOf[at].tokens--;
-        budget[at]--;
         trialAt[at] = sickSince[at] >= 0 ? now + trialGap(at) : 0;
         d.earned = sickSince[at] >= 0 || crowdedAt[at] > now ? 0 : d.earned;
         fill(d);
