--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -2,12 +2,18 @@
 
 import static java.lang.Math.max;
 import static java.lang.Math.min;
-import static java.util.Arrays.copyOf;
-import static yewpath.Egress.*;
 
 import java.nio.ByteBuffer;
-import java.util.*;
-import java.util.function.IntConsumer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import java.util.zip.CRC32;
@@ -35,11 +41,11 @@
         Destination to;
         KeyLine line;
         Call call;
-        IntConsumer next;
     }
 
     private static final class Call {
-        int endpoint, generation, left;
+        int generation, left;
+        Endpoint endpoint;
         long sentAt;
         boolean learnt, calledOff;
         Destination to;
@@ -82,10 +88,10 @@
     }
 
     /** What falls due at a time: nothing is looked at between events but what one of these names. */
-    private record Due(long at, long order, Runnable act) { }
+    private record Due(long at, long order, Runnable act) {}
 
     private final class Destination {
-        int[] endpoints = {};
+        Endpoint[] endpoints = {};
         int generation, sentUnder, inFlight, held, open, bundle = 1;
         double window = cap, earned;
         boolean filled, ready;
@@ -98,11 +104,30 @@
         final ArrayDeque<Envelope> behind = new ArrayDeque<>(2);
     }
 
+    /** What this relay knows of one endpoint; a new one counts with the usual latency until it answers. */
+    private final class Endpoint {
+        final int id;
+        final Destination owner;
+        final Route route;
+        int zone, kind, phase = GONE, lastBad, badRun, calls, callCap = NO_CAP, backCap;
+        double lat = USUAL_LAT, spread = USUAL_LAT / 2, gap, ill, credit = 3, turn, budget;
+        boolean mayHaveRun;
+        long lastAnswer, lastSend = -1, sentLast, sickSince = -1, backSince = -1;
+        long trialAt, budgetAt, crowdedAt = -NEVER, listenAt, namedIn;
+
+        Endpoint(int id, Destination owner, int kind) {
+            this.id = id;
+            this.owner = owner;
+            route = kind < apart.length && apart[kind] ? new Route(owner) : owner.shared;
+        }
+    }
+
     private final Egress out;
     private final long seed, began;
     private final Count askedInAll = new Count();
-    private long now, drawn, turns, ordered, callOffAt, renewUntil, alarmAt = NEVER;
-    private int slotsOut, open, chosen;
+    private long now, drawn, turns, ordered, callOffAt, renewUntil, wholeLists, alarmAt = NEVER;
+    private int slotsOut, open;
+    private Endpoint chosen;
     private boolean listWhole;
     private Envelope[] envelopes = new Envelope[64];
     private final Map<Integer, Destination> destinations = new HashMap<>();
@@ -181,9 +206,9 @@
 
     /** Shots and doubt are those of an earlier life of this relay: none, -1 and 0 for a new envelope. */
     public void taken(int id, int offering, int tenant, int key, int destination, long expiry, int shots,
-                      long doubtSince, int doubtZone) {
+        long doubtSince, int doubtZone) {
         if (id >= envelopes.length) {
-            envelopes = copyOf(envelopes, id * 2);
+            envelopes = Arrays.copyOf(envelopes, id * 2);
         }
         Envelope e = envelopes[id] = new Envelope();
         Settings.Offering o = offerings[offering];
@@ -191,7 +216,7 @@
         e.offering = offering;
         e.expiry = expiry;
         e.agreedAt = expiry - o.expiry() + o.agreed();
-        e.to = destination(destination);
+        e.to = destinations.computeIfAbsent(destination, i -> new Destination());
         e.to.asked.by(now, 1);
         askedInAll.by(now, 1);
         earn(e.to);
@@ -222,10 +247,6 @@
         }
     }
 
-    private Destination destination(int index) {
-        return destinations.computeIfAbsent(index, i -> new Destination());
-    }
-
     private void hold(Envelope e, boolean again) {
         e.held = true;
         e.to.held++;
@@ -424,69 +445,68 @@
 
     // ---- Pick
 
-    private Route[] routeOf = {};
-    private Destination[] ownerOf = {};
+    private Endpoint[] endpoints = {};
     private final long[] kindCrowdedAt;
-    private int[] kindOf = {}, zoneOf = {}, phase = {}, lastBad = {}, badRun = {}, calls = {}, callCap = {};
-    private int[] backCap = {};
-    private double[] lat = {}, spread = {}, gap = {}, ill = {}, credit = {}, turnOf = {}, budget = {};
-    private boolean[] mayHaveRun = {}, listNamed = {};
-    private long[] lastAnswer = {}, lastSend = {}, sentLast = {}, sickSince = {}, backSince = {};
-    private long[] trialAt = {}, budgetAt = {}, crowdedAt = {}, listenAt = {};
 
     /** Costs, as a part of an envelope's revenue, that halve an endpoint's turns. */
     private static final double HALVES = 0.006;
 
-    private int pick(Destination d, Envelope e) {
-        int best = -1;
+    private Endpoint pick(Destination d, Envelope e) {
+        Endpoint best = null;
         double sum = 0;
-        for (int at : d.endpoints) {
-            double weight = usable(at, e) ? (1.05 - min(1, ill[at])) / (lat[at] + 50 * MS) / dearness(at) : 0;
+        for (Endpoint target : d.endpoints) {
+            double weight = usable(target, e) ? preference(target) : 0;
             sum += weight;
-            turnOf[at] += weight;
-            best = weight > 0 && (best < 0 || turnOf[at] > turnOf[best]) ? at : best;
+            target.turn += weight;
+            best = weight > 0 && (best == null || target.turn > best.turn) ? target : best;
         }
-        if (best >= 0) {
-            turnOf[best] -= sum;
+        if (best != null) {
+            best.turn -= sum;
         }
         return best;
     }
 
+    /** Quick and healthy endpoints get more turns, dear ones fewer. */
+    private double preference(Endpoint target) {
+        return (1.05 - min(1, target.ill)) / (target.lat + 50 * MS) / dearness(target);
+    }
+
     /** A crossing between zones, and a route's fee, take from the turns of an endpoint as from the result. */
-    private double dearness(int at) {
-        boolean hasFee = routeOf[at] != ownerOf[at].shared && zoneOf[at] < fees.length;
-        return 1 + ((zoneOf[at] == zone ? 0 : crossing) + (hasFee ? fees[zoneOf[at]] : 0)) / HALVES;
+    private double dearness(Endpoint target) {
+        boolean hasFee = target.route != target.owner.shared && target.zone < fees.length;
+        return 1 + ((target.zone == zone ? 0 : crossing) + (hasFee ? fees[target.zone] : 0)) / HALVES;
     }
 
     /** When this endpoint may have a call as far as time decides; NEVER where only an answer can tell. */
-    private long opensAt(int at) {
-        Route r = routeOf[at];
-        if (phase[at] != UP || calls[at] >= callCap[at] || sickSince[at] >= 0 && calls[at] > 0
-            || backSince[at] >= 0 && calls[at] >= backCap[at]) {
+    private long opensAt(Endpoint target) {
+        Route r = target.route;
+        if (target.phase != UP || target.calls >= target.callCap || target.sickSince >= 0 && target.calls > 0
+            || target.backSince >= 0 && target.calls >= target.backCap) {
             return NEVER;
         }
-        long from = max(r.waitUntil, ownerOf[at].earned >= 1 ? 0 : crowdedAt[at]);
+        long from = max(r.waitUntil, target.owner.earned >= 1 ? 0 : target.crowdedAt);
         from = r.tokens < 1 ? max(from, now + 1 + (long) ((1 - r.tokens) / speed(r) * SECOND)) : from;
-        if (sickSince[at] >= 0) {
-            from = ownerOf[at].earned >= 1 ? from : max(from, trialAt[at]);
-        } else if (backSince[at] >= 0 && budget[at] < 1) {
-            from = max(from, now + 1 + (long) ((1 - budget[at]) / ramp(at, now - backSince[at]) * SECOND));
+        if (target.sickSince >= 0) {
+            from = target.owner.earned >= 1 ? from : max(from, target.trialAt);
+        } else if (target.backSince >= 0 && target.budget < 1) {
+            double rate = ramp(target, now - target.backSince);
+            from = max(from, now + 1 + (long) ((1 - target.budget) / rate * SECOND));
         }
-        return lastSend[at] == turns ? max(from, now + MS) : from;
+        return target.lastSend == turns ? max(from, now + MS) : from;
     }
 
-    private boolean usable(int at, Envelope e) {
+    private boolean usable(Endpoint target, Envelope e) {
         // A trial may be lost: it is one that can be mended, unless the trouble proves that none ran.
-        return opensAt(at) <= now && knowsRepeat(at, e) && (sickSince[at] < 0 ? e.shots == 0
-            || credit[at] >= 1 : !mayHaveRun[at] || !onceOnly(e) || now - trialAt[at] > LONE_TRIAL);
+        return opensAt(target) <= now && knowsRepeat(target, e) && (target.sickSince < 0 ? e.shots == 0
+            || target.credit >= 1 : !target.mayHaveRun || !onceOnly(e) || now - target.trialAt > LONE_TRIAL);
     }
 
     private boolean onceOnly(Envelope e) {
         return offerings[e.offering].kind() == Settings.Kind.ONCE_ONLY;
     }
 
-    private boolean knowsRepeat(int at, Envelope e) {
-        return e.doubtSince < 0 || !offerings[e.offering].oneZone() || zoneOf[at] == e.doubtZone;
+    private boolean knowsRepeat(Endpoint target, Envelope e) {
+        return e.doubtSince < 0 || !offerings[e.offering].oneZone() || target.zone == e.doubtZone;
     }
 
     // ---- Pace
@@ -515,7 +535,7 @@
             / (r == r.of.shared ? 1 : max(1, r.of.endpoints.length));
     }
 
-    /** This relay's even part, and what others leave: the limit once for all, or a call for a lone envelope. */
+    /** This relay's even part, and what others leave: the limit once for all, or a call for one envelope. */
     private double part(Route r) {
         double lent = r.told > 0 ? 0 : min(LENT, max(1.0 / relays, lone / rateOf(r)));
         return rateOf(r) * (PACE_START / relays + lent * (1 - 1.0 / relays));
@@ -527,20 +547,20 @@
             r.told * AT_ONCE * (r.left - SPARED) / (1 + r.refusals.by(now, 0)))) : r.pace;
     }
 
-    private void refill(int at) {
-        Route r = routeOf[at];
+    private void refill(Endpoint target) {
+        Route r = target.route;
         r.pace = r.pace > 0 ? r.pace : part(r);
         // A destination that says it has no limit is left to the window: an even part of a guessed rate
         // kept envelopes waiting wherever many relays send little each.
         r.tokens = !(r.pace > 0) || r.told == 0 ? slots
             : min(max(1, r.pace * 0.5), r.tokens + speed(r) * (now - r.tokensAt) / SECOND);
         r.tokensAt = now;
-        if (now - backSince[at] > coldFor) {
-            backSince[at] = -1;
-        } else if (backSince[at] >= 0) {
-            double rate = ramp(at, now - backSince[at]);
-            budget[at] = min(max(1, rate / 2), budget[at] + rate * (now - budgetAt[at]) / SECOND);
-            budgetAt[at] = now;
+        if (now - target.backSince > coldFor) {
+            target.backSince = -1;
+        } else if (target.backSince >= 0) {
+            double rate = ramp(target, now - target.backSince);
+            target.budget = min(max(1, rate / 2), target.budget + rate * (now - target.budgetAt) / SECOND);
+            target.budgetAt = now;
         }
     }
 
@@ -569,94 +589,94 @@
     // ---- Health and return
 
     private boolean isSick(Destination d) {
-        boolean sick = false;
-        for (int at : d.endpoints) {
-            sick |= phase[at] == UP && (sickSince[at] >= 0 || ill[at] > 0.3);
-        }
-        return sick;
+        return Arrays.stream(d.endpoints)
+            .anyMatch(i -> i.phase == UP && (i.sickSince >= 0 || i.ill > 0.3));
     }
 
     private void learn(Call call, int outcome, long elapsed) {
-        int at = call.endpoint;
+        Endpoint target = call.endpoint;
         // Guards against connections that the other side closed unseen: a reset at once on a kept one tells
         // nothing of health, and where these are not rare, new connections cost less. Not every caller can
         // tell a kept connection from a new one, so the time tells: a round trip, well under an answer's.
-        boolean inVain = (outcome == STALE || outcome == BROKEN) && elapsed < lat[at] / 2;
+        boolean inVain = (outcome == Egress.STALE || outcome == Egress.BROKEN) && elapsed < target.lat / 2;
         stale += inVain ? 0.06 * (1 - stale) : 0;
-        if (inVain || outcome == CANCELLED || outcome == MOOT) {
+        if (inVain || outcome == Egress.CANCELLED || outcome == Egress.MOOT) {
             return;
         }
-        if (outcome == FULFILLED || outcome == FULL) {
-            lastAnswer[at] = now;
-            credit[at] = min(CREDIT_MOST, credit[at] + (outcome == FULL ? 1 : CREDIT_GAIN));
+        if (outcome == Egress.FULFILLED || outcome == Egress.FULL) {
+            target.lastAnswer = now;
+            target.credit = min(CREDIT_MOST, target.credit + (outcome == Egress.FULL ? 1 : CREDIT_GAIN));
         }
-        if (outcome == FULL) {
-            trialAt[at] = max(trialAt[at], routeOf[at].waitUntil);
+        if (outcome == Egress.FULL) {
+            target.trialAt = max(target.trialAt, target.route.waitUntil);
             return;
         }
-        if (outcome == FULFILLED) {
-            Route r = routeOf[at];
+        if (outcome == Egress.FULFILLED) {
+            Route r = target.route;
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
             double raise = PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace);
             raise = now - r.pressedAt < TICK ? raise : 0;
             r.pace = min(max(r.pace, rateOf(r)), r.pace + raise);
-            if (callCap[at] < NO_CAP && now - crowdedAt[at] > SECOND) {
-                callCap[at]++;
-                crowdedAt[at] = now;
+            if (target.callCap < NO_CAP && now - target.crowdedAt > SECOND) {
+                target.callCap++;
+                target.crowdedAt = now;
             }
-            boolean alone = badRun[at] == 1 && lastBad[at] == TIMEOUT && elapsed < 2 * lat[at];
-            lost += 0.03 * ((alone ? 1 : 0) - lost);
+            boolean alone = target.badRun == 1 && elapsed < 2 * target.lat;
+            lost += 0.03 * ((alone && target.lastBad == Egress.TIMEOUT ? 1 : 0) - lost);
             stale *= 0.97;
             renewUntil = max(lost, stale) > 2 * LOSSY ? now + RENEW_FOR : renewUntil;
-            badRun[at] = 0;
-            ill[at] *= 0.8;
+            target.badRun = 0;
+            target.ill *= 0.8;
             usual += 0.05 * (min(elapsed, 4 * usual) - usual);
-            double off = min(elapsed, 4 * lat[at]) - lat[at];
-            lat[at] += 0.15 * off;
-            spread[at] += 0.15 * (Math.abs(off) - spread[at]);
+            double off = min(elapsed, 4 * target.lat) - target.lat;
+            target.lat += 0.15 * off;
+            target.spread += 0.15 * (Math.abs(off) - target.spread);
             // Guards against ramps where answers get lost: one in time to a call from before ends no outage.
-            boolean falseAlarm = call.sentAt <= sickSince[at] && elapsed < SECOND;
-            if (sickSince[at] >= 0 && !falseAlarm && (ill[at] >= 0.15 || mayHaveRun[at])) {
+            boolean falseAlarm = call.sentAt <= target.sickSince && elapsed < SECOND;
+            if (target.sickSince >= 0 && !falseAlarm && (target.ill >= 0.15 || target.mayHaveRun)) {
                 // As they mostly go together, so they return: each is ramped, and doubted sooner.
-                Arrays.stream(call.to.endpoints).filter(i -> i == at || sickSince[i] >= 0
-                    && routeOf[i] == routeOf[at]).forEach(this::back);
-            } else if (backSince[at] >= 0) {
-                backCap[at]++;
+                Arrays.stream(call.to.endpoints).filter(i -> i == target || i.sickSince >= 0
+                    && i.route == target.route).forEach(this::back);
+            } else if (target.backSince >= 0) {
+                target.backCap++;
             }
-            well(at);
+            well(target);
             return;
         }
-        lastAnswer[at] = outcome == ERROR || outcome >= BROKEN ? now : lastAnswer[at];
-        badRun[at]++;
-        lastBad[at] = outcome;
-        lat[at] = outcome == TIMEOUT && badRun[at] > 1 ? max(lat[at], min(elapsed, 2 * lat[at])) : lat[at];
-        boolean ran = outcome != UNREACHED, turnedAway = !ran && elapsed < connectFor;
+        target.lastAnswer = outcome == Egress.ERROR || outcome >= Egress.BROKEN ? now : target.lastAnswer;
+        target.badRun++;
+        target.lastBad = outcome;
+        if (outcome == Egress.TIMEOUT && target.badRun > 1) {
+            target.lat = max(target.lat, min(elapsed, 2 * target.lat));
+        }
+        boolean ran = outcome != Egress.UNREACHED, turnedAway = !ran && elapsed < connectFor;
         int run = Arrays.stream(call.to.endpoints)
-            .map(i -> phase[i] == UP && routeOf[i] == routeOf[at] ? badRun[i] : 0).sum();
-        long pause = (long) pauseAfter(sizeOf(routeOf[at]) / max(1, routeOf[at].members), run + 1);
-        if (turnedAway && sickSince[at] < 0 && backSince[at] < 0 && run < CROWDED_RUN) {
+            .mapToInt(i -> i.phase == UP && i.route == target.route ? i.badRun : 0).sum();
+        long pause = (long) pauseAfter(sizeOf(target.route) / max(1, target.route.members), run + 1);
+        if (turnedAway && target.sickSince < 0 && target.backSince < 0 && run < CROWDED_RUN) {
             // Guards against reading a full connection table, which turns calls away at once, as an outage:
             // it takes a run of failures over all endpoints.
-            callCap[at] = max(1, min(callCap[at], calls[at]));
-            kindCrowdedAt[kindOf[at]] = now;
+            target.callCap = max(1, min(target.callCap, target.calls));
+            kindCrowdedAt[target.kind] = now;
             call.to.earned = 0;
-            for (int i : call.to.endpoints) {
-                crowdedAt[i] = badRun[i] > 0 && routeOf[i] == routeOf[at] ? now + pause : crowdedAt[i];
+            for (Endpoint i : call.to.endpoints) {
+                i.crowdedAt = i.badRun > 0 && i.route == target.route ? now + pause : i.crowdedAt;
             }
             return;
         }
-        ill[at] += 0.2 * (1 - ill[at]);
-        if (sickSince[at] >= 0) {
-            mayHaveRun[at] |= ran;
-            trialAt[at] = now + trialGap(at);
-        } else if (backSince[at] >= 0 ? ill[at] > 0.3 || !ran && badRun[at] >= 2 : ill[at] > 0.5 || !ran) {
+        target.ill += 0.2 * (1 - target.ill);
+        if (target.sickSince >= 0) {
+            target.mayHaveRun |= ran;
+            target.trialAt = now + trialGap(target);
+        } else if (target.ill > 0.5 || target.backSince < 0 && !ran
+            || target.backSince >= 0 && target.ill > 0.3) {
             // Most calls must fail, not a few of many: a thin spread of resets is no outage, and ramping for
             // one costs more than it loses. An endpoint just back is doubted sooner. A connect that ran into
             // its time speaks for all of the route not heard since: they mostly go together.
             boolean all = !ran && !turnedAway;
-            for (int i : call.to.endpoints) {
-                if (i == at || all && routeOf[i] == routeOf[at] && lastAnswer[i] < call.sentAt) {
+            for (Endpoint i : call.to.endpoints) {
+                if (i == target || all && i.route == target.route && i.lastAnswer < call.sentAt) {
                     sicken(i, ran);
                 }
             }
@@ -668,39 +688,38 @@
         LONE_TRIAL = 3 * SECOND, HOPELESS = 1500 * MS;
     private double lost, stale, usual = USUAL_LAT;
 
-    private void sicken(int at, boolean ran) {
-        if (sickSince[at] < 0) {
-            out.health(at, false);
+    private void sicken(Endpoint target, boolean ran) {
+        if (target.sickSince < 0) {
+            out.health(target.id, false);
         }
-        sickSince[at] = now;
-        backSince[at] = -1;
-        ownerOf[at].earned = 0;
-        mayHaveRun[at] = ran;
-        trialAt[at] = now + trialGap(at);
+        target.sickSince = now;
+        target.backSince = -1;
+        target.owner.earned = 0;
+        target.mayHaveRun = ran;
+        target.trialAt = now + trialGap(target);
     }
 
-    private void back(int at) {
-        backSince[at] = now;
-        backCap[at] = 1;
-        budget[at] = min(1, ramp(at, 0) * fallFor / SECOND / 3);
-        budgetAt[at] = now;
-        ill[at] = badRun[at] = 0;
-        well(at);
+    private void back(Endpoint target) {
+        target.backSince = target.budgetAt = now;
+        target.backCap = 1;
+        target.budget = min(1, ramp(target, 0) * fallFor / SECOND / 3);
+        target.ill = target.badRun = 0;
+        well(target);
     }
 
-    private void well(int at) {
-        if (sickSince[at] >= 0) {
-            out.health(at, true);
+    private void well(Endpoint target) {
+        if (target.sickSince >= 0) {
+            out.health(target.id, true);
         }
-        sickSince[at] = -1;
+        target.sickSince = -1;
     }
 
     /**
      * What this relay may send a second to an endpoint back from an outage: its part, among the relays that
      * can have met it, of half of what the destination bears (arrivals earn the rest) and what others send.
      */
-    private double ramp(int at, long since) {
-        Route r = routeOf[at];
+    private double ramp(Endpoint target, long since) {
+        Route r = target.route;
         double rate = r.told > 0 ? r.told : sizeOf(r) * rateDoubt;
         double knowing = min(relays, max(1, rate * IDLE / SECOND));
         return rate * (coldMultiple * warm(since) + 1 - knowing / relays) / knowing / max(1, r.members);
@@ -713,9 +732,9 @@
     private void earn(Destination d) {
         double part = coldMultiple * (FURTHER + (1 - FURTHER) / d.bundle);
         d.earned = min(1, d.earned + part * coldFrom);
-        for (int at : d.endpoints) {
-            budget[at] += backSince[at] < 0 ? 0
-                : part * warm(now - backSince[at]) / max(1, routeOf[at].members);
+        for (Endpoint target : d.endpoints) {
+            target.budget += target.backSince < 0 ? 0
+                : part * warm(now - target.backSince) / max(1, target.route.members);
         }
     }
 
@@ -723,30 +742,28 @@
         return coldFrom + (1 - coldFrom) * min(1, since / (double) coldFor);
     }
 
-    private long trialGap(int at) {
-        double gap = SECOND / max(0.01, ramp(at, 0));
+    private long trialGap(Endpoint target) {
+        double gap = SECOND / max(0.01, ramp(target, 0));
         // Many relays' trials add up: at their even part a call each 2.5 s would push over what returns.
-        double most = 2500 * MS * max(1, relays * routeOf[at].members / 6.0);
+        double most = 2500 * MS * max(1, relays * target.route.members / 6.0);
         return (long) (max(400 * MS, min(most, gap)) * (0.9 + 0.2 * chance()));
     }
 
     /** Silence is no outcome: shots out for far longer than answers take here say that none will come. */
-    private void listen(int at) {
-        if (calls[at] == 0 || sickSince[at] >= 0) {
-            return;
-        }
+    private void listen(Endpoint target) {
+        boolean idle = target.calls == 0 || target.sickSince >= 0;
         // One answer may be lost anywhere; silence is two that stay away long, or one after two failures.
-        int needed = badRun[at] > 1 ? 1 : 2;
-        for (Call call : callsOut) {
-            if (call.endpoint == at && --needed == 0) {
-                long quiet = max(call.sentAt, lastAnswer[at]) + 1
-                    + (long) max(700 * MS, lat[at] * (2.5 + 4.0 / calls[at]));
+        int needed = target.badRun > 1 ? 1 : 2;
+        for (Call call : idle ? List.<Call>of() : callsOut) {
+            if (call.endpoint == target && --needed == 0) {
+                long quiet = max(call.sentAt, target.lastAnswer) + 1
+                    + (long) max(700 * MS, target.lat * (2.5 + 4.0 / target.calls));
                 if (now >= quiet) {
-                    sicken(at, true);
+                    sicken(target, true);
                     rouse(call.to);
-                } else if (listenAt[at] <= now || quiet < listenAt[at]) {
-                    listenAt[at] = quiet;
-                    later(quiet, () -> listen(at));
+                } else if (target.listenAt <= now || quiet < target.listenAt) {
+                    target.listenAt = quiet;
+                    later(quiet, () -> listen(target));
                 }
                 return;
             }
@@ -755,10 +772,11 @@
 
     // ---- Further shots
 
-    private long patience(Envelope e, int at) {
+    private long patience(Envelope e, Endpoint target) {
         // Answers lost one by one, with others at their usual pace around them, won't come; but where whole
         // endpoints stall or queue, a short time-out only adds to their work.
-        long within = lost > LOSSY ? (long) max(600 * MS, lat[at] + 4 * spread[at]) : timeOut(lat[at]);
+        double quick = max(600 * MS, target.lat + 4 * target.spread);
+        long within = lost > LOSSY ? (long) quick : timeOut(target.lat);
         // Giving up on a once-only shot gains nothing: the envelope may have run and could not go again.
         return onceOnly(e) || now + within >= e.expiry ? 0 : within;
     }
@@ -769,16 +787,15 @@
 
     private void send(Envelope e, Call call) {
         unhold(e);
-        int at = call.endpoint;
-        out.send(e.id, at, patience(e, at), e.giveUpAt);
-        credit[at] = max(0, credit[at] - min(1, e.shots));
+        Endpoint target = call.endpoint;
+        out.send(e.id, target.id, patience(e, target), e.giveUpAt);
+        target.credit = max(0, target.credit - min(1, e.shots));
         e.shots++;
         e.call = call;
-        budget[at] -= call.carried.isEmpty() ? 1 : FURTHER;
+        target.budget -= call.carried.isEmpty() ? 1 : FURTHER;
         call.carried.add(e);
         call.left++;
         call.to.sentUnder++;
-        e.next = outcome -> afterShot(e, call, outcome);
     }
 
     /**
@@ -792,8 +809,8 @@
         }
         boolean othersWait = ready.stream().anyMatch(d -> !isSick(d) && room(d) > 0);
         for (Call call : othersWait ? callsOut : List.<Call>of()) {
-            double hopeless = max(HOPELESS, 4 * lat[call.endpoint]);
-            if (now - call.sentAt > (sickSince[call.endpoint] >= 0 ? 1 : 2) * hopeless && wanted-- > 0) {
+            double hopeless = max(HOPELESS, 4 * call.endpoint.lat);
+            if (now - call.sentAt > (call.endpoint.sickSince >= 0 ? 1 : 2) * hopeless && wanted-- > 0) {
                 call.carried.stream().filter(e -> e.call == call && !call.calledOff)
                     .forEach(e -> out.cancel(e.id, e.shots - 1));
                 call.calledOff = true;
@@ -801,13 +818,13 @@
         }
         if (othersWait && callOffAt <= now) {
             callOffAt = now + HOPELESS / 8;
-            later(callOffAt, () -> { });
+            later(callOffAt, () -> {});
         }
     }
 
     private void afterShot(Envelope e, Call call, int outcome) {
-        doubt(e, outcome == FULL || outcome == UNREACHED || outcome == MOOT ? -1 : call.sentAt,
-            zoneOf[call.endpoint]);
+        boolean neverRan = outcome == Egress.FULL || outcome == Egress.UNREACHED || outcome == Egress.MOOT;
+        doubt(e, neverRan ? -1 : call.sentAt, call.endpoint.zone);
         if (mayShoot(e)) {
             hold(e, true);
         } else {
@@ -834,7 +851,7 @@
     // ---- Answers
 
     public void settled(int id, boolean over, int shot, int endpoint, int outcome, long wait, long elapsed,
-                        double left, double limit) {
+        double left, double limit) {
         Envelope e = envelopes[id];
         Call call = e == null ? null : e.call;
         if (call == null) {
@@ -842,25 +859,25 @@
         }
         e.call = null;
         Destination d = call.to;
-        int at = call.endpoint;
-        Route r = routeOf[at];
+        Endpoint target = call.endpoint;
+        Route r = target.route;
         if (--call.left == 0) {
             slotsOut--;
             d.inFlight--;
-            calls[at]--;
+            target.calls--;
             callsOut.remove(call);
         }
-        if (calls[at] == 0 && outcome != UNREACHED && outcome != MOOT
-            && (now - kindCrowdedAt[kindOf[at]] < CROWDED_FOR
-            || gap[at] > idleFor && d.held == 0 && e.line == null)) {
+        if (target.calls == 0 && outcome != Egress.UNREACHED && outcome != Egress.MOOT
+            && (now - kindCrowdedAt[target.kind] < CROWDED_FOR
+                || target.gap > idleFor && d.held == 0 && e.line == null)) {
             // Guards against idle connections of many relays filling a table, also before any connect failed:
             // one that would hardly be used again before it closes by itself only keeps others out. Tables of
             // one kind are alike, and a relay with an idle one never meets the failure that it causes.
-            out.close(at);
+            out.close(target.id);
         }
         r.told = limit > 0 && r.told > 0 ? r.told + 0.2 * (limit - r.told) : limit >= 0 ? limit : r.told;
         r.left = left >= 0 ? left : r.left;
-        if (outcome == FULL) {
+        if (outcome == Egress.FULL) {
             if (!call.learnt) {
                 refused(r, call, wait);
             }
@@ -872,17 +889,18 @@
         if (!call.learnt) {
             call.learnt = true;
             learn(call, outcome, elapsed);
-            listen(at);
+            listen(target);
         }
         rouse(d);
-        if (e.line != null && (outcome == TIMEOUT || outcome >= BROKEN && outcome != MOOT)) {
+        boolean mayRun = outcome == Egress.TIMEOUT || outcome >= Egress.BROKEN && outcome != Egress.MOOT;
+        if (e.line != null && mayRun) {
             e.line.restUntil = max(e.line.restUntil, now + settle);
         }
         if (over || e.ended) {
             close(e);
             advance(e);
         } else {
-            e.next.accept(outcome);
+            afterShot(e, call, outcome);
         }
     }
 
@@ -906,50 +924,44 @@
             askAt = NEVER;
             askBackoff = 0;
         }
-        Arrays.fill(listNamed, 0, whole ? listNamed.length : 0, false);
-    }
-
-    public void listed(int at, int zone, int kind, int destination, int phaseNow, double rate, long since) {
-        if (at >= routeOf.length) {
-            grow(2 * at + 32);
-        }
-        listNamed[at] = true;
-        Destination d = destination(destination);
-        boolean isApart = kind < apart.length && apart[kind];
-        if (routeOf[at] == null) {
-            lat[at] = USUAL_LAT;
-            spread[at] = USUAL_LAT / 2;
-            credit[at] = 3;
-            sickSince[at] = backSince[at] = lastSend[at] = -1;
-            callCap[at] = NO_CAP;
-            crowdedAt[at] = -NEVER;
-            phase[at] = GONE;
-            ownerOf[at] = d;
-            d.endpoints = copyOf(d.endpoints, d.endpoints.length + 1);
-            d.endpoints[d.endpoints.length - 1] = at;
-            d.bundle = kind < bundles.length ? max(1, bundles[kind]) : 1;
-            routeOf[at] = isApart ? new Route(d) : d.shared;
-            routeOf[at].tokensAt = now;
-            int health = Arrays.stream(d.endpoints)
-                .map(i -> sickSince[i] >= 0 ? 1 : phase[i] == UP ? 2 : 0).reduce(0, (a, b) -> a | b);
-            if (health == 1 && !isApart) {
-                // Guards against what all relays hold storming an endpoint listed while its fellows are down.
-                sicken(at, false);
-                trialAt[at] = now + (long) (trialGap(at) * chance());
-            }
+        wholeLists += whole ? 1 : 0;
+    }
+
+    public void listed(int id, int zone, int kind, int destination, int phase, double rate, long since) {
+        Destination d = destinations.computeIfAbsent(destination, i -> new Destination());
+        endpoints = id < endpoints.length ? endpoints : Arrays.copyOf(endpoints, 2 * id + 32);
+        if (endpoints[id] == null) {
+            meet(endpoints[id] = new Endpoint(id, d, kind), kind);
         }
-        zoneOf[at] = zone;
-        kindOf[at] = min(kind, kindCrowdedAt.length - 1);
-        routeOf[at].listed = ratesListed ? rate : routeOf[at].listed;
-        turnPhase(at, phaseNow);
+        Endpoint target = endpoints[id];
+        target.namedIn = wholeLists;
+        target.zone = zone;
+        target.kind = min(kind, kindCrowdedAt.length - 1);
+        target.route.listed = ratesListed ? rate : target.route.listed;
+        turnPhase(target, phase);
         rouse(d);
     }
 
-    private void turnPhase(int at, int phaseNow) {
-        routeOf[at].members += (phaseNow == UP ? 1 : 0) - (phase[at] == UP ? 1 : 0);
-        phase[at] = phaseNow;
-        if (phaseNow == GONE) {
-            later(now + IDLE, () -> forget(at));
+    private void meet(Endpoint target, int kind) {
+        Destination d = target.owner;
+        d.endpoints = Arrays.copyOf(d.endpoints, d.endpoints.length + 1);
+        d.endpoints[d.endpoints.length - 1] = target;
+        d.bundle = kind < bundles.length ? max(1, bundles[kind]) : 1;
+        target.route.tokensAt = now;
+        int health = Arrays.stream(d.endpoints)
+            .mapToInt(i -> i.sickSince >= 0 ? 1 : i.phase == UP ? 2 : 0).reduce(0, (a, b) -> a | b);
+        if (health == 1 && target.route == d.shared) {
+            // Guards against what all relays hold storming an endpoint listed while its fellows are down.
+            sicken(target, false);
+            target.trialAt = now + (long) (trialGap(target) * chance());
+        }
+    }
+
+    private void turnPhase(Endpoint target, int phase) {
+        target.route.members += (phase == UP ? 1 : 0) - (target.phase == UP ? 1 : 0);
+        target.phase = phase;
+        if (phase == GONE) {
+            later(now + IDLE, () -> forget(target.id));
         }
     }
 
@@ -957,23 +969,25 @@
      * Guards against memory growing while endpoints are replaced by others: as with a window, what is known
      * of one that stays away goes, and its index may be another's. A destination keeps its last.
      */
-    private void forget(int at) {
-        Destination d = ownerOf[at];
-        boolean gone = phase[at] == GONE && routeOf[at] != null;
-        if (gone && (calls[at] > 0 || d.endpoints.length == 1)) {
-            later(now + IDLE, () -> forget(at));
-        } else if (gone) {
-            d.endpoints = Arrays.stream(d.endpoints).filter(i -> i != at).toArray();
-            routeOf[at] = null;
-            ill[at] = turnOf[at] = budget[at] = sentLast[at] = lastAnswer[at] = listenAt[at] = badRun[at] = 0;
-            out.forget(at);
+    private void forget(int id) {
+        Endpoint target = endpoints[id];
+        if (target == null || target.phase != GONE) {
+            return;
+        }
+        Destination d = target.owner;
+        if (target.calls > 0 || d.endpoints.length == 1) {
+            later(now + IDLE, () -> forget(id));
+        } else {
+            d.endpoints = Arrays.stream(d.endpoints).filter(i -> i != target).toArray(Endpoint[]::new);
+            endpoints[id] = null;
+            out.forget(id);
         }
     }
 
     public void listEnds() {
-        for (int at = 0; listWhole && at < routeOf.length; at++) {
-            if (!listNamed[at] && routeOf[at] != null) {
-                turnPhase(at, GONE);
+        for (Endpoint target : endpoints) {
+            if (listWhole && target != null && target.namedIn != wholeLists) {
+                turnPhase(target, GONE);
             }
         }
     }
@@ -984,20 +998,6 @@
         askBy(min(askAt, now + (long) (askBackoff * (0.5 + chance()))));
     }
 
-    private void grow(int size) {
-        routeOf = copyOf(routeOf, size); zoneOf = copyOf(zoneOf, size); kindOf = copyOf(kindOf, size);
-        phase = copyOf(phase, size); lat = copyOf(lat, size); ill = copyOf(ill, size);
-        spread = copyOf(spread, size); credit = copyOf(credit, size); turnOf = copyOf(turnOf, size);
-        budget = copyOf(budget, size); lastBad = copyOf(lastBad, size); badRun = copyOf(badRun, size);
-        calls = copyOf(calls, size); callCap = copyOf(callCap, size); backCap = copyOf(backCap, size);
-        sentLast = copyOf(sentLast, size); lastSend = copyOf(lastSend, size);
-        mayHaveRun = copyOf(mayHaveRun, size); lastAnswer = copyOf(lastAnswer, size);
-        sickSince = copyOf(sickSince, size); backSince = copyOf(backSince, size);
-        trialAt = copyOf(trialAt, size); budgetAt = copyOf(budgetAt, size); gap = copyOf(gap, size);
-        crowdedAt = copyOf(crowdedAt, size); listNamed = copyOf(listNamed, size);
-        listenAt = copyOf(listenAt, size); ownerOf = copyOf(ownerOf, size);
-    }
-
     // ---- The turn
 
     public void due() {
@@ -1063,9 +1063,9 @@
 
     private void sleep(Destination d) {
         long wake = NEVER;
-        for (int at : d.endpoints) {
-            long from = opensAt(at);
-            from = from <= now && sickSince[at] >= 0 ? trialAt[at] + LONE_TRIAL + 1 : from;
+        for (Endpoint target : d.endpoints) {
+            long from = opensAt(target);
+            from = from <= now && target.sickSince >= 0 ? target.trialAt + LONE_TRIAL + 1 : from;
             wake = from > now ? min(wake, from) : wake;
         }
         if (room(d) > 0 && wake < NEVER && (wake < d.wakeAt || d.wakeAt <= now)) {
@@ -1079,11 +1079,11 @@
     }
 
     private long typical(Destination d) {
-        return (long) Arrays.stream(d.endpoints).mapToDouble(at -> lat[at]).reduce(USUAL_LAT, Math::min);
+        return (long) Arrays.stream(d.endpoints).mapToDouble(i -> i.lat).reduce(USUAL_LAT, Math::min);
     }
 
     private long horizon(Destination d) {
-        double rate = rateOf(routeOf[d.endpoints[0]]);
+        double rate = rateOf(d.endpoints[0].route);
         return (long) max(250 * MS, min(8 * SECOND, d.held / (rate > 0 ? rate / relays : 2) * SECOND));
     }
 
@@ -1095,32 +1095,32 @@
             return false;
         }
         sortLate(d, typical);
-        int at = -1;
+        Endpoint target = null;
         Call call = null;
-        for (Envelope e = next(d, typical, at); e != null; e = next(d, typical, at)) {
+        for (Envelope e = next(d, typical, target); e != null; e = next(d, typical, target)) {
             if (call == null) {
-                at = chosen;
-                call = begin(d, at);
+                target = chosen;
+                call = begin(d, target);
             }
             send(e, call);
-            if (call.carried.size() >= d.bundle || sickSince[at] >= 0
-                || backSince[at] >= 0 && budget[at] < FURTHER - DEBT * warm(now - backSince[at])) {
+            if (call.carried.size() >= d.bundle || target.sickSince >= 0
+                || target.backSince >= 0 && target.budget < FURTHER - DEBT * warm(now - target.backSince)) {
                 break;
             }
         }
         if (call == null) {
-            for (int i : d.endpoints) {
-                routeOf[i].pressedAt = routeOf[i].tokens < 1 ? now : routeOf[i].pressedAt;
+            for (Endpoint i : d.endpoints) {
+                i.route.pressedAt = i.route.tokens < 1 ? now : i.route.pressedAt;
             }
             return false;
         }
-        lastSend[at] = d.bundle > 1 ? turns : -1;
+        target.lastSend = d.bundle > 1 ? turns : -1;
         return true;
     }
 
-    private Call begin(Destination d, int at) {
+    private Call begin(Destination d, Endpoint target) {
         Call call = new Call();
-        call.endpoint = at;
+        call.endpoint = target;
         call.to = d;
         call.sentAt = now;
         slotsOut++;
@@ -1129,21 +1129,22 @@
         }
         call.generation = d.generation;
         d.lastUsed = now;
-        calls[at]++;
+        target.calls++;
         callsOut.add(call);
-        lat[at] = lastAnswer[at] == 0 ? usual : lat[at];
-        gap[at] = sentLast[at] == 0
-            ? SECOND * relays * max(1, routeOf[at].members) / max(0.1, sizeOf(routeOf[at]))
-            : gap[at] + (now - sentLast[at] < gap[at] ? 0.7 : 0.3) * (now - sentLast[at] - gap[at]);
-        sentLast[at] = now;
-        routeOf[at].tokens--;
-        trialAt[at] = sickSince[at] >= 0 ? now + trialGap(at) : 0;
-        d.earned = sickSince[at] >= 0 || crowdedAt[at] > now ? 0 : d.earned;
+        target.lat = target.lastAnswer == 0 ? usual : target.lat;
+        double since = now - target.sentLast;
+        target.gap = target.sentLast == 0
+            ? SECOND * relays * max(1, target.route.members) / max(0.1, sizeOf(target.route))
+            : target.gap + (since < target.gap ? 0.7 : 0.3) * (since - target.gap);
+        target.sentLast = now;
+        target.route.tokens--;
+        target.trialAt = target.sickSince >= 0 ? now + trialGap(target) : 0;
+        d.earned = target.sickSince >= 0 || target.crowdedAt > now ? 0 : d.earned;
         fill(d);
-        listen(at);
+        listen(target);
         if (now < renewUntil) {
             // Guards against connections that died while idle, unseen here: a call on one is lost.
-            out.close(at);
+            out.close(target.id);
         }
         return call;
     }
@@ -1165,14 +1166,14 @@
     }
 
     /** The held envelope to go next: the one a delay costs most among those that some endpoint may have. */
-    private Envelope next(Destination d, long typical, int joined) {
+    private Envelope next(Destination d, long typical, Endpoint joined) {
         long tried = 0;
         while (true) {
             int line = foremost(d, typical, tried);
             Envelope e = line < 0 ? null : head(d, line);
-            chosen = e == null ? -1 : joined < 0 ? pick(d, e)
-                : knowsRepeat(joined, e) && (e.shots == 0 || credit[joined] >= 1) ? joined : -1;
-            if (e == null || chosen >= 0) {
+            chosen = e == null ? null : joined == null ? pick(d, e)
+                : knowsRepeat(joined, e) && (e.shots == 0 || joined.credit >= 1) ? joined : null;
+            if (e == null || chosen != null) {
                 return e;
             }
             tried |= 1L << line;
