A priced refusal cuts the pace deeper, up to half; answers without refusal raise it sooner

Counted over all 14 relays, by destination and second: at the three smallest (limits 14, 16 and 19) 56, 64 and 50 calls in a row were refused while the limit was down, since the fleet still asked some 8 a second; at the largest (93) a quarter of 50 calls a second; and with the limits back, five destinations were asked for 60 to 80% of them for 15 s beside backlogs of 100 to 200, without a refusal. Lines at fault: refused() took 15% however much a refusal costs; learn() gave back 1.5% an answer, 46 answers to double, at less than one answer a second each. Mend: the cut follows the price that the settings tell (0.1: half, 0.03: a quarter, none: 15% as before), not for a lone message; each answer since the last refusal adds a quarter to the raise. Red without: refusals-halve-the-pace (20 sends where 15 are allowed), answers-without-refusal-raise-sooner (2 of 6); refusals-in-a-run-stay-away was red with the cut for lone messages, too.

--- a/decisions/src/main/java/yewpath/Logic.java
+++ b/decisions/src/main/java/yewpath/Logic.java
@@ -66,7 +66,7 @@
     private static final class Route {
         double listed = Double.NaN, told = Double.NaN, pace, left, tokens = 1;
         long waitUntil, tokensAt, pressedAt = -NEVER;
-        int fulls, members;
+        int fulls, members, answers;
         final Count refusals = new Count();
         final Destination of;
 
@@ -147,7 +147,7 @@
     private final int slots, cap, sickCap, shotLimit, fillMark, relays, zone;
     private final double[] fees;
     private final boolean halving, ratesListed, mayCancel;
-    private final double crossing, lone, rateDoubt, coldFrom, coldMultiple;
+    private final double crossing, pricedCut, lone, rateDoubt, coldFrom, coldMultiple;
     private final long pauseLimit, coldFor, fallFor, settle, askAgain, idleFor, connectFor;
 
     public Logic(Settings s, long seed, Egress out, long now) {
@@ -169,6 +169,8 @@
         halving = s.halving;
         zone = s.zone;
         crossing = s.crossingPrice;
+        // The dearer a refusal, the deeper the cut: a tenth of a message's worth halves the pace.
+        pricedCut = max(0.5, PACE_DOWN - 3.5 * s.refusalPrice);
         fees = s.fees.clone();
         ratesListed = s.listTellsRate;
         rateDoubt = s.rateIsRough || !ratesListed ? 1 / 1.5 : 1;
@@ -511,8 +513,8 @@
 
     // ---- Pace
 
-    private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, PACE_START = 1.2,
-        LENT = 0.05, ALONE = 5, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 8;
+    private static final double PACE_UP = 0.015, PACE_DOWN = 0.85, PACE_FLOOR = 0.5, QUIET = 4,
+        PACE_START = 1.2, LENT = 0.05, ALONE = 5, AT_ONCE = 0.5, SPARED = 0.2, CATCH_UP = 8;
     // What a further envelope weighs in a call, at most, and the weight that a ramp may run ahead, once warm.
     private static final double FURTHER = 0.25, DEBT = 2;
 
@@ -566,10 +568,13 @@
 
     private void refused(Route r, Call call, long wait) {
         r.fulls++;
+        r.answers = 0;
         r.refusals.by(now, 1);
         if (call.generation == call.to.generation) {
             double even = rateOf(r) / relays, own = PACE_START * even;
-            r.pace = max(PACE_FLOOR * even, PACE_DOWN * (r.pace > own ? (r.pace + own) / 2 : r.pace));
+            // A lone envelope fills no limit; a second refusal would keep it waiting past its time.
+            double cut = r.of.asked.by(now, 0) < 2 ? PACE_DOWN : pricedCut;
+            r.pace = max(PACE_FLOOR * even, cut * (r.pace > own ? (r.pace + own) / 2 : r.pace));
         }
         // Many refused at one moment, as by a full queue, would all have their next token at one moment too.
         r.tokens -= (1 - 1.0 / relays) * chance();
@@ -589,8 +594,7 @@
     // ---- Health and return
 
     private boolean isSick(Destination d) {
-        return Arrays.stream(d.endpoints)
-            .anyMatch(i -> i.phase == UP && (i.sickSince >= 0 || i.ill > 0.3));
+        return Arrays.stream(d.endpoints).anyMatch(i -> i.phase == UP && (i.sickSince >= 0 || i.ill > 0.3));
     }
 
     private void learn(Call call, int outcome, long elapsed) {
@@ -615,7 +619,7 @@
             Route r = target.route;
             r.fulls /= 2;
             // Raised by answers, not by time: where many relays send little each, a raise a tick outran cuts.
-            double raise = PACE_UP * max(PACE_START * rateOf(r) / relays, r.pace);
+            double raise = PACE_UP * (1 + r.answers++ / QUIET) * max(PACE_START * rateOf(r) / relays, r.pace);
             raise = now - r.pressedAt < TICK ? raise : 0;
             r.pace = min(max(r.pace, rateOf(r)), r.pace + raise);
             if (target.callCap < NO_CAP && now - target.crowdedAt > SECOND) {
@@ -775,10 +779,9 @@
     private long patience(Envelope e, Endpoint target) {
         // Answers lost one by one, with others at their usual pace around them, won't come; but where whole
         // endpoints stall or queue, a short time-out only adds to their work.
-        double quick = max(600 * MS, target.lat + 4 * target.spread);
-        long within = lost > LOSSY ? (long) quick : timeOut(target.lat);
+        double within = lost > LOSSY ? max(600 * MS, target.lat + 4 * target.spread) : timeOut(target.lat);
         // Giving up on a once-only shot gains nothing: the envelope may have run and could not go again.
-        return onceOnly(e) || now + within >= e.expiry ? 0 : within;
+        return onceOnly(e) || now + within >= e.expiry ? 0 : (long) within;
     }
 
     private static long timeOut(double usually) {
@@ -920,10 +923,8 @@
 
     public void listBegins(boolean whole, boolean cached) {
         listWhole = whole;
-        if (!cached) {
-            askAt = NEVER;
-            askBackoff = 0;
-        }
+        askAt = cached ? askAt : NEVER;
+        askBackoff = cached ? askBackoff : 0;
         wholeLists += whole ? 1 : 0;
     }
 
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -144,6 +144,7 @@
                     case "connect" -> settings.connectTimeout = ms(value);
                     case "cancels" -> settings.mayCancel = value.equals("yes");
                     case "zone" -> settings.zone = Integer.parseInt(value);
+                    case "refusal" -> settings.refusalPrice = Double.parseDouble(value);
                     case "crossing" -> settings.crossingPrice = Double.parseDouble(value);
                     case "fees" -> settings.fees = Stream.of(value.split(","))
                         .mapToDouble(Double::parseDouble).toArray();
--- a/lab/src/test/java/yewpath/lab/DecisionDigestTest.java
+++ b/lab/src/test/java/yewpath/lab/DecisionDigestTest.java
@@ -63,6 +63,7 @@
             case "crowded" -> {
                 settings.slots = 6;
                 settings.holdLimit = 24;
+                settings.refusalPrice = 0.05;
                 options.load = 1.6;
             }
             case "alone" -> {
