--- a/configuration/src/main/java/yewpath/configuration/Key.java
+++ b/configuration/src/main/java/yewpath/configuration/Key.java
@@ -60,6 +60,7 @@
         return value;
     }
 
+    /** Returns the values allowed, in words. */
     public String range() {
         if (type == Type.TEXT || type == Type.FLAG || type == Type.TEXTS) {
             return type.example;
--- a/configuration/src/main/java/yewpath/configuration/TomlFile.java
+++ b/configuration/src/main/java/yewpath/configuration/TomlFile.java
@@ -45,6 +45,7 @@
         this.name = name;
     }
 
+    /** Reads a file and checks it against its shape; all faults are reported at once. */
     public static Values read(String path, Shape shape, Together together) throws Faults {
         try {
             Path at = Path.of(path);
--- a/relay/src/main/java/yewpath/boot/Boot.java
+++ b/relay/src/main/java/yewpath/boot/Boot.java
@@ -18,6 +18,7 @@
     private final Map<String, String> pairs;
     private final boolean written;
 
+    /** Reads settings from path=value fields, from the given index on. */
     public static Boot ofFields(String[] fields, int first) {
         Map<String, String> pairs = new HashMap<>();
         for (int i = first; i < fields.length; i++) {
--- a/relay/src/main/java/yewpath/boot/Keys.java
+++ b/relay/src/main/java/yewpath/boot/Keys.java
@@ -17,6 +17,7 @@
         this.rest = rest;
     }
 
+    /** Returns the index of a key, which stays the same until every holder has released it. */
     public int hold(String name, long now) {
         // A key outlives its last envelope by the rest it may owe, lest its index be another's meanwhile.
         while (!idle.isEmpty() && idle.peek().since + 2 * rest < now) {
@@ -35,6 +36,7 @@
         return key;
     }
 
+    /** Releases one hold; a negative index stands for no key. */
     public void release(int key, long now) {
         if (key >= 0 && --holders[key] == 0) {
             idle.add(new Idle(key, now, uses[key]));
--- a/relay/src/main/java/yewpath/boot/Names.java
+++ b/relay/src/main/java/yewpath/boot/Names.java
@@ -12,6 +12,7 @@
     private final List<String> names = new ArrayList<>();
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
 
+    /** Returns the index of a name, a new or reused one where it has none yet. */
     public int of(String name) {
         Integer known = indices.get(name);
         if (known != null) {
@@ -37,6 +38,7 @@
         return names.get(index);
     }
 
+    /** Frees an index; another name may get it. */
     public void letGo(int index) {
         indices.remove(names.get(index));
         names.set(index, null);
--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -75,6 +75,7 @@
 
     private Main() {}
 
+    /** Runs one command; the exit codes stand in the README. */
     public static void main(String[] args) throws Exception {
         boolean serves = args.length > 0 && args[0].equals("serve");
         // Ahead of all that takes time.
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -31,6 +31,7 @@
     private final Set<Call> callsOut = new LinkedHashSet<>();
     private boolean sweeping;
 
+    /** Takes load reports from answers where they have these fields. */
     public Delivery(Loop loop, Limits limits, List<String> reportFields) {
         this.loop = loop;
         this.limits = limits;
@@ -45,6 +46,7 @@
         return links;
     }
 
+    /** Sets the address of an endpoint; at a new one, connections to the old are closed. */
     public void place(int endpoint, InetSocketAddress address) {
         if (endpoint >= addresses.length) {
             addresses = Arrays.copyOf(addresses, endpoint * 2);
@@ -204,6 +206,7 @@
         sweepLater();
     }
 
+    /** Closes the idle connections to an endpoint. */
     public void closeIdle(int endpoint) {
         for (Idle one : new ArrayList<>(idle)) {
             if (one.endpoint == endpoint) {
--- a/relay/src/main/java/yewpath/directory/Listing.java
+++ b/relay/src/main/java/yewpath/directory/Listing.java
@@ -103,6 +103,7 @@
             figures[1], (long) (figures[2] * 1000));
     }
 
+    /** Hands the entries over, between a beginning and an end. */
     public void playTo(Hearer hearer) {
         hearer.begins(whole);
         for (Entry e : entries) {
@@ -111,6 +112,7 @@
         hearer.ends();
     }
 
+    /** Reads a numeric address with a port; anything else is an IllegalArgumentException. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, Math.max(0, colon)).replaceAll("^\\[|\\]$", "");
--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -34,6 +34,7 @@
         this.failed = failed;
     }
 
+    /** Opens the watch anew from the version known last. */
     public void follow() {
         if (again != null) {
             again.callOff();
--- a/relay/src/main/java/yewpath/events/Log.java
+++ b/relay/src/main/java/yewpath/events/Log.java
@@ -54,6 +54,7 @@
         return event.level.compareTo(level) >= 0;
     }
 
+    /** Writes an event with a value for each of its fields. */
     public static void tell(Event event, Object... values) {
         if (values.length != event.fields.length) {
             throw new IllegalArgumentException(
--- a/relay/src/main/java/yewpath/http/Caller.java
+++ b/relay/src/main/java/yewpath/http/Caller.java
@@ -42,6 +42,7 @@
     private boolean left;
     private Runnable afterEnd = () -> {};
 
+    /** Connects to the address at the first request; answers are read up to this size. */
     public Caller(Loop loop, Limits limits, InetSocketAddress address, int bodyMost) {
         this.loop = loop;
         this.limits = limits;
@@ -54,6 +55,7 @@
         afterEnd = act;
     }
 
+    /** Sends one request and hands its answer on; one request at a time. */
     public void ask(byte[] bytes, Answer then) {
         request = bytes;
         left = false;
@@ -186,6 +188,7 @@
         return closed;
     }
 
+    /** Closes the connection; a request under way ends without an answer. */
     public void close() {
         if (closed) {
             return;
--- a/relay/src/main/java/yewpath/http/Link.java
+++ b/relay/src/main/java/yewpath/http/Link.java
@@ -26,6 +26,7 @@
     private boolean ended;
     private boolean endsSending;
 
+    /** Reads into a ring buffer that starts at the first size and grows to the second. */
     public Link(StreamConnection connection, int ringFirst, int ringMost, Owner owner) {
         this.connection = connection;
         this.owner = owner;
--- a/relay/src/main/java/yewpath/http/Parser.java
+++ b/relay/src/main/java/yewpath/http/Parser.java
@@ -25,6 +25,7 @@
     private int status;
     private boolean lasting;
 
+    /** Parses requests or answers whose head and body stay within these sizes. */
     public Parser(boolean requests, int headMost, int bodyMost) {
         this.requests = requests;
         this.headMost = headMost;
@@ -61,6 +62,7 @@
         return stage == Stage.START && headBytes == 0 && scanned == 0;
     }
 
+    /** Returns the first value of a header, compared without regard to case, or null. */
     public String header(String name) {
         for (int i = 0; i < names.size(); i++) {
             if (names.get(i).equalsIgnoreCase(name)) {
@@ -78,6 +80,7 @@
         return taken;
     }
 
+    /** Forgets the message read so far, to read another on the same connection. */
     public void next() {
         names.clear();
         values.clear();
--- a/relay/src/main/java/yewpath/http/Ring.java
+++ b/relay/src/main/java/yewpath/http/Ring.java
@@ -14,6 +14,7 @@
     private int head;
     private int size;
 
+    /** Starts with room for {@code first} bytes and grows to at most {@code most}. */
     public Ring(int first, int most) {
         this.first = first;
         this.most = most;
@@ -32,6 +33,7 @@
         return bytes[(head + index) % bytes.length];
     }
 
+    /** Returns the index of the first such byte at or after {@code from}, or -1. */
     public int find(byte wanted, int from) {
         for (int i = from; i < size; i++) {
             if (at(i) == wanted) {
@@ -41,6 +43,7 @@
         return -1;
     }
 
+    /** Drops this many bytes from the front. */
     public void skip(int count) {
         head = (head + count) % bytes.length;
         size -= count;
@@ -51,6 +54,7 @@
         }
     }
 
+    /** Moves this many bytes from the front into an array. */
     public void take(byte[] into, int offset, int count) {
         int toEnd = Math.min(count, bytes.length - head);
         System.arraycopy(bytes, head, into, offset, toEnd);
@@ -58,6 +62,7 @@
         skip(count);
     }
 
+    /** Appends bytes, growing the buffer as needed. */
     public void put(byte[] from) {
         reserve(size + from.length);
         int tail = (head + size) % bytes.length;
--- a/relay/src/main/java/yewpath/http/Writer.java
+++ b/relay/src/main/java/yewpath/http/Writer.java
@@ -32,6 +32,7 @@
         return head.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Returns the message with its length and this body. */
     public byte[] done(byte[] body) {
         byte[] start = with("Content-Length", body.length).done();
         byte[] whole = Arrays.copyOf(start, start.length + body.length);
--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/Door.java
@@ -27,12 +27,14 @@
     private AcceptingChannel<StreamConnection> listener;
     private boolean shut;
 
+    /** Hands requests to the desk; nothing is open yet. */
     public Door(Loop loop, Limits limits, Desk desk) {
         this.loop = loop;
         this.limits = limits;
         this.desk = desk;
     }
 
+    /** Listens at an address and returns the one that it got. */
     public InetSocketAddress open(XnioWorker by, InetSocketAddress at) throws IOException {
         worker = by;
         listener = worker.createStreamConnectionServer(at, this::accept, OptionMap.builder()
--- a/relay/src/main/java/yewpath/json/Tokens.java
+++ b/relay/src/main/java/yewpath/json/Tokens.java
@@ -78,6 +78,7 @@
             what + " at line " + place.getLineNr() + ", column " + place.getColumnNr());
     }
 
+    /** Calls {@code member} with the parser at the first token of each value of an object. */
     public static void object(JsonParser at, Member member) throws IOException {
         if (at.currentToken() != JsonToken.START_OBJECT) {
             throw fault(at, "not an object");
@@ -99,6 +100,7 @@
         }
     }
 
+    /** Returns the string that the parser stands at. */
     public static String text(JsonParser at) throws IOException {
         if (at.currentToken() != JsonToken.VALUE_STRING) {
             throw fault(at, "not a string");
@@ -106,6 +108,7 @@
         return at.getText();
     }
 
+    /** Returns the number that the parser stands at. */
     public static double number(JsonParser at) throws IOException {
         if (!at.currentToken().isNumeric()) {
             throw fault(at, "not a number");
--- a/relay/src/main/java/yewpath/ledger/Entry.java
+++ b/relay/src/main/java/yewpath/ledger/Entry.java
@@ -27,6 +27,7 @@
     public boolean handedBack;
     public long pause;
 
+    /** Creates an entry with no attempt made and no notice owed. */
     public Entry(long number, String id, String offering, String tenant, String key, String tag,
         String destination,
         long expiry, byte[] body) {
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -35,6 +35,7 @@
     private long liveBytes;
     private long lastNumber;
 
+    /** Opens the log in a folder and replays what an earlier process left there. */
     public Ledger(Path folder, long liveMost, long anewAt, int aside) throws IOException {
         this.folder = folder;
         this.liveMost = liveMost;
@@ -71,6 +72,7 @@
         return liveBytes + e.room <= liveMost;
     }
 
+    /** Creates an entry that is not part of the log yet. */
     public Entry draft(String id, String offering, String tenant, String key, String tag, String destination,
         long expiry, byte[] body) {
         Entry e = new Entry(++lastNumber, id, offering, tenant, key, tag, destination, expiry, body);
@@ -83,6 +85,7 @@
         append(Records.taken(e));
     }
 
+    /** Records that an attempt is about to leave, before its first byte does. */
     public void shot(Entry e, long at, String zone) {
         e.shots++;
         e.outSince = at;
@@ -102,6 +105,7 @@
         append(Records.back(e, neverRan));
     }
 
+    /** Records that the message ended without delivery and its notice is owed. */
     public void owed(Entry e, boolean handedBack, long pause) {
         e.noticeOwed = true;
         e.handedBack = handedBack;
@@ -127,6 +131,7 @@
         e.body = new byte[0];
     }
 
+    /** Records that nothing is owed for the message any more. */
     public void over(Entry e) {
         if (remove(e)) {
             append(Records.over(e));
--- a/relay/src/main/java/yewpath/loop/Limits.java
+++ b/relay/src/main/java/yewpath/loop/Limits.java
@@ -34,6 +34,7 @@
         fill(operator);
     }
 
+    /** Sets all limits from the operator's settings and what the platform allows. */
     public void fill(Operator o) {
         // Left for files, the jars, the selector, the ledger, the listener and the links to discovery.
         int links = Math.max(3, (int) or("sockets", 1024) - 48);
--- a/relay/src/main/java/yewpath/loop/Loop.java
+++ b/relay/src/main/java/yewpath/loop/Loop.java
@@ -37,6 +37,7 @@
     private long ordered;
     private long wakeAt = Long.MAX_VALUE;
 
+    /** Runs on this I/O thread; time starts now. */
     public Loop(XnioIoThread thread) {
         this.thread = thread;
         Instant wall = Instant.now();
@@ -62,6 +63,7 @@
         ask();
     }
 
+    /** Asks for a round; several requests before it make one. */
     public void ask() {
         if (!roundAsked) {
             roundAsked = true;
@@ -90,6 +92,7 @@
         }
     }
 
+    /** Runs an action once after this many microseconds; a negative delay counts as none. */
     public Timer after(long micros, Runnable act) {
         Timer timer = new Timer(now() + Math.max(0, micros), ordered++, act);
         timers.add(timer);
--- a/relay/src/main/java/yewpath/operator/Reference.java
+++ b/relay/src/main/java/yewpath/operator/Reference.java
@@ -7,6 +7,7 @@
 public final class Reference {
     private Reference() {}
 
+    /** Returns every key as plain text. */
     public static String text() {
         StringBuilder out = new StringBuilder();
         for (Key key : Catalogue.all()) {
@@ -17,6 +18,7 @@
         return out.toString();
     }
 
+    /** Returns every key as a page. */
     public static String markdown() {
         StringBuilder out = new StringBuilder(
             """
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -30,6 +30,7 @@
     private long backoff;
     private int atOnce;
 
+    /** Sends to this platform; {@code told} hears of each notice that was acknowledged. */
     public Notices(Loop loop, Limits limits, InetSocketAddress platform, Consumer<Entry> told) {
         this.loop = loop;
         this.limits = limits;
--- a/relay/src/main/java/yewpath/relay/Check.java
+++ b/relay/src/main/java/yewpath/relay/Check.java
@@ -17,6 +17,7 @@
 public final class Check {
     private Check() {}
 
+    /** Starts a relay in an empty folder on a free port, hands in one message and returns what to print. */
     public static String run(String file, String operatorFile, Map<String, String> environment)
         throws Config.Fault,
         IOException, InterruptedException {
