--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -193,6 +193,8 @@
     private final List<String> told = new ArrayList<>();
     final List<String> watched = new CopyOnWriteArrayList<>();
     final List<String> notices = new CopyOnWriteArrayList<>();
+    /** Answers notices in place of {@code noticeStatus}; null for none. */
+    volatile Function<Got, String> onNotice;
     /** 0 leaves notices without an answer. */
     volatile int noticeStatus = 204;
     /** What a watch starts with, and how many milliseconds after its head; below 0 it never answers. */
@@ -249,6 +251,9 @@
 
     private String platform(Got got) {
         if (got.line.startsWith("POST /v1/outcomes")) {
+            if (onNotice != null) {
+                return onNotice.apply(got);
+            }
             if (noticeStatus == 204) {
                 notices.addAll(got.body.lines().toList());
             }
--- /dev/null
+++ b/relay/src/test/java/yewpath/StrayAnswerTest.java
@@ -0,0 +1,211 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static yewpath.Stand.OK;
+import static yewpath.Stand.until;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.testng.annotations.Test;
+
+/** A second copy of an earlier answer comes while the next request on that connection is out. */
+public final class StrayAnswerTest extends Stand.Tests {
+    private static final String BUSY = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+    private static final String WAIT = "HTTP/1.1 429 X\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
+    private static final Pattern ITEM = Pattern.compile("\"id\":\"([^\"]+)\"");
+    private static final int MESSAGES = 30;
+
+    private final Map<Integer, String> lastAnswers = new ConcurrentHashMap<>();
+
+    /** Where the connection has had an answer before, sends that once more and works on for a while. */
+    private void repeatLastAnswer(Stand.Server server, Stand.Got got, int workMs) {
+        String earlier = lastAnswers.get(got.connection);
+        if (earlier != null) {
+            write(server, got, earlier);
+            Stand.pause(workMs);
+        }
+    }
+
+    private static void write(Stand.Server server, Stand.Got got, String bytes) {
+        try {
+            server.sockets.get(got.connection - 1).getOutputStream()
+                .write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException closed) {
+            throw new UncheckedIOException(closed);
+        }
+    }
+
+    private String answer(Stand.Got got, String bytes) {
+        lastAnswers.put(got.connection, bytes);
+        return bytes;
+    }
+
+    /** Of what runs: a message is read and answered with 200, whoever hears that. */
+    private void handInAll(String offering, Stand.Server server, Set<String> over) throws Exception {
+        for (int i = 0; i < MESSAGES; i++) {
+            assertEquals(stand.handIn("m" + i, offering, 1, 5_000), 202);
+            Stand.pause(15);
+        }
+        until("each has its end", 8_000, () -> over.size() + stand.notices.size() >= MESSAGES
+            && stand.figure("open") == 0 && stand.figure("notices_owed") == 0);
+        assertTrue(server.got.size() >= MESSAGES);
+    }
+
+    @Test
+    public void aCopyOfARefusalDoesNotSendAnOnceOnlyMessageAgain() throws Exception {
+        List<String> ran = new ArrayList<>();
+        Set<String> over = ConcurrentHashMap.newKeySet();
+        Stand.Server[] server = {null};
+        server[0] = stand.endpoint(1, got -> {
+            boolean refuses = !lastAnswers.containsKey(got.connection) && server[0].posts().size() % 4 == 1;
+            if (refuses) {
+                return answer(got, BUSY);
+            }
+            synchronized (ran) {
+                ran.add(got.id());
+            }
+            over.add(got.id());
+            repeatLastAnswer(server[0], got, 100);
+            return answer(got, OK);
+        });
+        stand.start();
+        handInAll("order", server[0], over);
+        assertEquals(ran.size(), Set.copyOf(ran).size(), "run more than once: " + ran);
+    }
+
+    @Test
+    public void aCopyOfASuccessDoesNotEndAMessageThatWasRefused() throws Exception {
+        Set<String> delivered = ConcurrentHashMap.newKeySet();
+        Stand.Server[] server = {null};
+        server[0] = stand.endpoint(1, got -> {
+            if (lastAnswers.containsKey(got.connection)) {
+                repeatLastAnswer(server[0], got, 60);
+                return WAIT;
+            }
+            delivered.add(got.id());
+            return answer(got, OK);
+        });
+        stand.start();
+        for (int i = 0; i < MESSAGES; i++) {
+            assertEquals(stand.handIn("m" + i, "status", 1, 3_000), 202);
+            Stand.pause(15);
+        }
+        until("nothing is held any more", 6_000,
+            () -> stand.figure("open") == 0 && stand.figure("notices_owed") == 0);
+        for (int i = 0; i < MESSAGES; i++) {
+            String id = "m" + i;
+            assertTrue(delivered.contains(id) || stand.ended(id, "outcome"), id + " is lost");
+        }
+    }
+
+    @Test
+    public void aCopyInCallsOfSeveralLeavesNoTwoAttemptsOut() throws Exception {
+        Map<String, Integer> out = new ConcurrentHashMap<>();
+        List<String> twice = new ArrayList<>();
+        Set<String> delivered = ConcurrentHashMap.newKeySet();
+        Stand.Server[] server = {null};
+        server[0] = stand.endpoint("e1", 1, "bundled", got -> {
+            List<String> ids = ids(got);
+            for (String id : ids) {
+                if (out.merge(id, 1, Integer::sum) > 1) {
+                    twice.add(id);
+                }
+            }
+            boolean strays = server[0].posts().size() % 3 == 0 && lastAnswers.containsKey(got.connection);
+            if (strays) {
+                write(server[0], got, lastAnswers.get(got.connection));
+            }
+            boolean open = staysOpen(server[0], got, 300);
+            ids.forEach(id -> out.merge(id, -1, Integer::sum));
+            if (!open) {
+                return Stand.CUT;
+            }
+            delivered.addAll(ids);
+            return answer(got, ids.size() == 1 && !got.line.contains("bulk") ? OK : done(ids));
+        });
+        stand.start();
+        for (int i = 0; i < 2 * MESSAGES; i++) {
+            assertEquals(stand.handIn("m" + i, "status", 1, 6_000), 202);
+            Stand.pause(15);
+        }
+        until("all delivered", 8_000, () -> delivered.size() == 2 * MESSAGES);
+        assertEquals(twice, List.of(), "out twice at once");
+    }
+
+    /** Whether the relay leaves the connection open for this long. */
+    private static boolean staysOpen(Stand.Server server, Stand.Got got, int millis) {
+        Socket socket = server.sockets.get(got.connection - 1);
+        try {
+            socket.setSoTimeout(millis);
+            return socket.getInputStream().read() >= 0;
+        } catch (SocketTimeoutException open) {
+            return restore(socket);
+        } catch (IOException reset) {
+            return false;
+        }
+    }
+
+    private static boolean restore(Socket socket) {
+        try {
+            socket.setSoTimeout(0);
+            return true;
+        } catch (IOException closed) {
+            return false;
+        }
+    }
+
+    private static List<String> ids(Stand.Got got) {
+        if (got.id() != null) {
+            return List.of(got.id());
+        }
+        List<String> ids = new ArrayList<>();
+        for (Matcher item = ITEM.matcher(got.body); item.find();) {
+            ids.add(item.group(1));
+        }
+        return ids;
+    }
+
+    private static String done(List<String> ids) {
+        String body = "[" + String.join(",",
+            ids.stream().map(id -> "{\"id\":\"" + id + "\",\"state\":\"done\"}").toList()) + "]";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    public void aCopyOfAnAcknowledgementDoesNotSwallowANotice() throws Exception {
+        String heard = "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n";
+        String unheard = "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n";
+        Set<String> acknowledged = ConcurrentHashMap.newKeySet();
+        stand.endpoint(1, got -> "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+        stand.onNotice = got -> {
+            if (lastAnswers.containsKey(got.connection)) {
+                repeatLastAnswer(stand.discovery, got, 60);
+                return unheard;
+            }
+            acknowledged.add(got.body);
+            return answer(got, heard);
+        };
+        stand.start();
+        for (int i = 0; i < 10; i++) {
+            assertEquals(stand.handIn("n" + i, "order", 1, 3_000), 202);
+            Stand.pause(40);
+        }
+        until("none is owed any more", 5_000,
+            () -> stand.figure("open") == 0 && stand.figure("notices_owed") == 0);
+        for (int i = 0; i < 10; i++) {
+            String id = '"' + "n" + i + '"';
+            assertTrue(acknowledged.stream().anyMatch(body -> body.contains(id)), id + " was never heard");
+        }
+    }
+}
