Deadlines and windows outlive a restart in real time, not by the wall clock

What callers saw: after the wall clock was stepped an hour forward between a kill and the start, all 20 messages taken on were given up untried; an hour back, deadlines and windows for repeats lay an hour too late.

Cause: the log keeps times in Unix time of the process that wrote them, and the next process read them as its own (Ledger.restore).

Change: each log begins with a reading of the clock (boot id, monotonic clock, Unix time). A process that takes the log over shifts all times by the difference between its Unix time and what the earlier process would say now. Within a boot the monotonic clock tells that; across boots the wall clock does, and time never runs back. A log without a reading is read as before.

In RestartTest the damaged byte is counted from the first message's record, since the file now begins with the clock's.

--- a/relay/src/main/java/yewpath/ledger/Entry.java
+++ b/relay/src/main/java/yewpath/ledger/Entry.java
@@ -10,7 +10,7 @@
     /** By which an endpoint knows a tagged envelope again, as its client gave it; null where none was given. */
     public final String tag;
     public final String destination;
-    public final long expiry;
+    public long expiry;
     /** What it takes of the ledger's room, with what is set aside for its shots and its end. */
     int room;
     /** Dropped once only a notice is owed. */
@@ -42,6 +42,13 @@
         this.body = body;
     }
 
+    /** Takes its times over from the process that wrote them. */
+    void shiftTimes(long micros) {
+        expiry += micros;
+        doubtSince += doubtSince >= 0 ? micros : 0;
+        outSince += outSince >= 0 ? micros : 0;
+    }
+
     void outIsDoubt() {
         if (outSince >= 0 && doubtSince < 0) {
             doubtSince = outSince;
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -14,13 +14,14 @@
 import java.util.Map;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.loop.ClockReading;
 
 /**
  * The file that outlives the process: one record after another, each with its length and checksum. What was
  * written to it before a kill is there afterwards, without any sync; a record cut short is dropped.
  */
 public final class Ledger {
-    static final byte TAKEN = 1, SHOT = 2, BACK = 3, OWED = 4, OVER = 5;
+    static final byte TAKEN = 1, SHOT = 2, BACK = 3, OWED = 4, OVER = 5, CLOCK = 6;
     private static final String FILE = "ledger", NEXT = "ledger.next";
 
     private final Path folder;
@@ -28,6 +29,8 @@
     private final long anewAt;
     /** Shots and ends of an envelope taken on must always find room: set aside for each from the start. */
     private final int aside;
+    /** In whose time all entries are. */
+    private ClockReading clock;
     private final Map<Long, Entry> live = new LinkedHashMap<>();
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private FileChannel file;
@@ -36,7 +39,7 @@
     private long lastNumber;
 
     /** Opens the log in a folder and replays what an earlier process left there. */
-    public Ledger(Path folder, long liveMost, long anewAt, int aside) throws IOException {
+    public Ledger(Path folder, long liveMost, long anewAt, int aside, ClockReading now) throws IOException {
         this.folder = folder;
         this.liveMost = liveMost;
         this.anewAt = anewAt;
@@ -50,6 +53,7 @@
                 Log.tell(Event.LEDGER_TORN, Files.size(path) - whole);
             }
         }
+        takeOverTimes(now);
         // A shot that was out when the process ended may have run, and may yet.
         live.values().forEach(Entry::outIsDoubt);
         writeAnew();
@@ -168,6 +172,7 @@
         long begun = System.nanoTime();
         long before = fileBytes;
         ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(Records.clock(clock));
         for (Entry e : live.values()) {
             all.writeBytes(Records.whole(e));
         }
@@ -189,8 +194,19 @@
         }
     }
 
+    /** What was read so far is in the time of an earlier process. */
+    private void takeOverTimes(ClockReading next) {
+        long offset = clock == null ? 0 : next.offsetFrom(clock);
+        live.values().forEach(entry -> entry.shiftTimes(offset));
+        clock = next;
+    }
+
     private void restore(byte type, ByteBuffer fields) {
         long number = fields.getLong();
+        if (type == CLOCK) {
+            takeOverTimes(Records.readClock(fields));
+            return;
+        }
         lastNumber = Math.max(lastNumber, number);
         if (type == TAKEN) {
             Entry e = Records.readTaken(number, fields);
--- a/relay/src/main/java/yewpath/ledger/Records.java
+++ b/relay/src/main/java/yewpath/ledger/Records.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
+import yewpath.loop.ClockReading;
 
 /** How records lie in the file: length, checksum, type, envelope's number, fields. */
 final class Records {
@@ -51,12 +52,12 @@
         return (int) crc.getValue();
     }
 
-    private static byte[] record(byte type, Entry e, Fields fields) {
+    private static byte[] record(byte type, long number, Fields fields) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeLong(0);
             out.writeByte(type);
-            out.writeLong(e.number);
+            out.writeLong(number);
             fields.to(out);
         } catch (IOException never) {
             throw new UncheckedIOException(never);
@@ -68,7 +69,7 @@
     }
 
     static byte[] taken(Entry e) {
-        return record(Ledger.TAKEN, e, out -> {
+        return record(Ledger.TAKEN, e.number, out -> {
             for (String word : new String[]{e.id, e.offering, e.tenant, e.key, e.destination}) {
                 out.writeBoolean(word != null);
                 write(out, word == null ? "" : word);
@@ -98,7 +99,7 @@
     }
 
     static byte[] shot(Entry e) {
-        return record(Ledger.SHOT, e, out -> {
+        return record(Ledger.SHOT, e.number, out -> {
             out.writeInt(e.shots);
             out.writeLong(e.outSince);
             write(out, e.outZone);
@@ -116,11 +117,11 @@
     }
 
     static byte[] back(Entry e, boolean neverRan) {
-        return record(Ledger.BACK, e, out -> out.writeBoolean(neverRan));
+        return record(Ledger.BACK, e.number, out -> out.writeBoolean(neverRan));
     }
 
     static byte[] owed(Entry e) {
-        return record(Ledger.OWED, e, out -> {
+        return record(Ledger.OWED, e.number, out -> {
             out.writeBoolean(e.handedBack);
             out.writeLong(e.pause);
         });
@@ -132,8 +133,21 @@
         e.pause = in.getLong();
     }
 
+    static byte[] clock(ClockReading reading) {
+        return record(Ledger.CLOCK, 0, out -> {
+            write(out, reading.bootId());
+            out.writeLong(reading.monotonicMicros());
+            out.writeLong(reading.unixMicros());
+        });
+    }
+
+    static ClockReading readClock(ByteBuffer in) {
+        String bootId = read(in);
+        return new ClockReading(bootId, in.getLong(), in.getLong());
+    }
+
     static byte[] over(Entry e) {
-        return record(Ledger.OVER, e, out -> {});
+        return record(Ledger.OVER, e.number, out -> {});
     }
 
     /** All that is known of an envelope, as few records. */
--- a/relay/src/main/java/yewpath/loop/Loop.java
+++ b/relay/src/main/java/yewpath/loop/Loop.java
@@ -1,6 +1,5 @@
 package yewpath.loop;
 
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +27,7 @@
     }
 
     private final XnioIoThread thread;
-    private final long origin;
+    private final Clock clock;
     private final ArrayDeque<Runnable> gathered = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> a.at != b.at
         ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -39,9 +38,13 @@
 
     /** Runs on this I/O thread; time starts now. */
     public Loop(XnioIoThread thread) {
+        this(thread, new Clock());
+    }
+
+    /** Runs on this I/O thread, by this clock. */
+    public Loop(XnioIoThread thread, Clock clock) {
         this.thread = thread;
-        Instant wall = Instant.now();
-        origin = wall.getEpochSecond() * 1_000_000 + wall.getNano() / 1000 - System.nanoTime() / 1000;
+        this.clock = clock;
     }
 
     public XnioIoThread thread() {
@@ -50,7 +53,7 @@
 
     /** Microseconds of Unix time, steady within one process whatever is done to the system's clock. */
     public long now() {
-        return origin + System.nanoTime() / 1000;
+        return clock.now();
     }
 
     public void eachRound(Runnable act) {
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/Serve.java
@@ -13,6 +13,7 @@
 import yewpath.events.Log;
 import yewpath.intake.Door;
 import yewpath.ledger.Ledger;
+import yewpath.loop.Clock;
 import yewpath.loop.Loop;
 import yewpath.operator.Catalogue;
 import yewpath.operator.Operator;
@@ -25,13 +26,14 @@
     public static InetSocketAddress start(Config config, Asked asked)
         throws IOException, InterruptedException {
         logAsTold(config.operator);
+        Clock clock = new Clock();
         Ledger ledger = new Ledger(config.state, config.limits.ledgerLive(), config.limits.ledgerAnew(),
-            config.limits.ledgerAside());
+            config.limits.ledgerAside(), clock.read());
         XnioWorker worker = Xnio.getInstance("nio", Serve.class.getClassLoader())
             .createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "yewpath").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
-        Loop loop = new Loop(worker.getIoThread());
+        Loop loop = new Loop(worker.getIoThread(), clock);
         CountDownLatch started = new CountDownLatch(1);
         Exception[] failure = {null};
         Relay[] relay = {null};
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -25,9 +25,12 @@
 import org.testng.annotations.Test;
 import yewpath.ledger.Entry;
 import yewpath.ledger.Ledger;
+import yewpath.loop.ClockReading;
 
 /** What a relay has taken on outlives its process. */
 public final class RestartTest extends Stand.Tests {
+    private static final ClockReading NOW = new ClockReading("boot", 40, 40);
+
     @Test
     public void whatWasHeldIsDeliveredByTheNextLife() throws Exception {
         Stand.Server gone = new Stand.Server(got -> OK);
@@ -416,7 +419,8 @@
     @Test
     public void aLedgerCutAtAnyByteOpens() throws Exception {
         Path folder = stand.folder.resolve("cut");
-        Ledger ledger = new Ledger(folder, 400_000, 600_000, 512);
+        Ledger ledger = new Ledger(folder, 400_000, 600_000, 512, NOW);
+        int clockLength = (int) Files.size(folder.resolve("ledger"));
         Entry first = ledger.draft("i1", "order", null, "k", "t-1", "7", 99,
             "abc".getBytes(StandardCharsets.UTF_8));
         Entry second = ledger.draft("i2", "order", "t", null, null, "8", 99, new byte[0]);
@@ -430,7 +434,7 @@
         byte[] whole = Files.readAllBytes(folder.resolve("ledger"));
         for (int length = 0; length <= whole.length; length++) {
             Files.write(folder.resolve("ledger"), Arrays.copyOf(whole, length));
-            Ledger cut = new Ledger(folder, 400_000, 600_000, 512);
+            Ledger cut = new Ledger(folder, 400_000, 600_000, 512, NOW);
             assertEquals(cut.size() >= 1, length >= one, "cut at " + length);
             if (length == whole.length) {
                 Entry back = cut.live().iterator().next();
@@ -444,9 +448,9 @@
                     cut.live().stream().anyMatch(e -> e.noticeOwed && e.handedBack && e.pause == 1234));
             }
         }
-        whole[20] ^= 1;
+        whole[clockLength + 20] ^= 1;
         Files.write(folder.resolve("ledger"), whole);
-        assertEquals(new Ledger(folder, 400_000, 600_000, 512).size(), 0,
+        assertEquals(new Ledger(folder, 400_000, 600_000, 512, NOW).size(), 0,
             "a record with a wrong sum was read");
     }
 
