A second copy of an earlier answer is not taken for the answer of the next request

What callers saw: messages that must not run twice went out again after they had run; two attempts of a message out at once; refused messages dropped as delivered; notices taken as heard that were not.

Cause: HTTP/1.1 relates answers to requests by order alone. A bulk answer that named none of a call's messages ended the attempt and kept the connection.

Change: Caller asks whose an answer is before it hands it on. The first answer on a connection is its own; a bulk answer is known by ids, one that names others is passed over; any other 200 needs a body unlike all before it on that connection, or the request may have run and the connection ends. A connection ends after any answer but 200 and after one with an empty body. Notices use a connection once. Each close, and each answer that is passed over, is an event with its reason.

Eight tests of DeliveryTest that are about kept connections now have an endpoint whose answers can be told apart; what they ask for is unchanged.

--- a/relay/src/main/java/yewpath/delivery/Answers.java
+++ b/relay/src/main/java/yewpath/delivery/Answers.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import yewpath.Egress;
 import yewpath.http.Parser;
 import yewpath.json.Tokens;
@@ -76,8 +75,8 @@
         return Double.NaN;
     }
 
-    /** Hands on what a bulk answer tells; one that cannot be read to its end tells nothing. */
-    static void each(byte[] body, BiConsumer<String, String> told) {
+    /** Returns what a bulk answer tells of each message, by id; one that cannot be read to its end tells nothing. */
+    static Map<String, String> states(byte[] body) {
         Map<String, String> ends = new LinkedHashMap<>();
         try {
             Tokens.read(body, at -> {
@@ -98,8 +97,8 @@
                 return ends;
             });
         } catch (IllegalArgumentException garbled) {
-            return;
+            return Map.of();
         }
-        ends.forEach(told);
+        return ends;
     }
 }
--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -1,9 +1,13 @@
 package yewpath.delivery;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import yewpath.Egress;
 import yewpath.http.Caller;
+import yewpath.http.CloseReason;
 import yewpath.http.Parser;
+import yewpath.http.Recognition;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -34,6 +38,8 @@
         void callOver();
     }
 
+    private static final int HTTP_OK = 200;
+
     private final Loop loop;
     private final Limits limits;
     private final Delivery delivery;
@@ -49,6 +55,8 @@
     private int open;
     private Loop.Timer restWithin;
     private boolean begun;
+    /** What the answer to a call of several says of each message, by id. */
+    private Map<String, String> states = Map.of();
 
     Call(Loop loop, Limits limits, Delivery delivery, int endpoint, Caller caller, List<Cargo> cargo,
         long endsAt,
@@ -124,7 +132,7 @@
             return;
         }
         if (saidDelivered()) {
-            caller.close();
+            caller.close(CloseReason.INCOMPLETE_ANSWER);
             return;
         }
         if (!begun || !caller.isSent() && (outcome == Egress.CANCELLED || loop.now() >= one.expiry())) {
@@ -194,7 +202,9 @@
     @Override
     public void part(Parser answer) {
         if (!answer.untouched()) {
-            restWithin = restWithin == null ? loop.after(limits.answerRest(), caller::close) : restWithin;
+            restWithin = restWithin == null
+                ? loop.after(limits.answerRest(), () -> caller.close(CloseReason.INCOMPLETE_ANSWER))
+                : restWithin;
         } else if (restWithin != null) {
             // What began was a 1xx answer: the one that counts may be long in coming.
             restWithin.callOff();
@@ -202,29 +212,68 @@
         }
     }
 
+    /**
+     * An answer other than 200 ends its connection, so a copy that comes later is always one of a 200. That is told by the
+     * ids it names, or by a body that no answer before it on this connection had.
+     */
+    @Override
+    public Recognition recognise(Parser answer) {
+        if (answer.status() != HTTP_OK) {
+            return Recognition.OWN_AND_LAST;
+        }
+        byte[] body = answer.body();
+        Recognition recognition = cargo.length == 1 ? recogniseOne(body) : recogniseSeveral(body);
+        boolean mayComeAgain = caller.history().add(body);
+        return recognition == Recognition.OWN && !mayComeAgain ? Recognition.OWN_AND_LAST : recognition;
+    }
+
+    private Recognition recogniseOne(byte[] body) {
+        if (!caller.isSent()) {
+            return Recognition.UNCERTAIN;
+        }
+        if (body.length == 0) {
+            return caller.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
+        }
+        return caller.history().contains(body) ? Recognition.UNCERTAIN : Recognition.OWN;
+    }
+
+    private Recognition recogniseSeveral(byte[] body) {
+        states = Answers.states(body);
+        long named = Arrays.stream(cargo).filter(one -> states.containsKey(one.id())).count();
+        if (named > 0) {
+            return named == cargo.length ? Recognition.OWN : Recognition.OWN_AND_LAST;
+        }
+        if (!states.isEmpty() || caller.history().contains(body)) {
+            return Recognition.FOREIGN;
+        }
+        return caller.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
+    }
+
     @Override
     public void whole(Parser answer) {
         left = Answers.report(answer, reportFields, "x0");
         limit = Answers.report(answer, reportFields, "x1");
         long wait = Answers.wait(answer);
-        if (cargo.length == 1 || answer.status() != 200) {
+        if (cargo.length == 1 || answer.status() != HTTP_OK) {
             endAll(Answers.outcome(answer, caller.isFirst()), wait, Answers.isOver(answer.status()));
             return;
         }
-        Answers.each(answer.takeBody(), (id, state) -> {
-            for (Cargo one : cargo) {
-                if (one.id().equals(id)) {
-                    end(one, Answers.outcomeOf(state), wait, Answers.isOver(state));
-                }
+        for (Cargo one : cargo) {
+            String state = states.get(one.id());
+            if (state != null) {
+                end(one, Answers.outcomeOf(state), wait, Answers.isOver(state));
             }
-        });
+        }
         // What a bulk answer doesn't name, or names in words unknown, may have run.
         endAll(Egress.BROKEN, wait, false);
     }
 
-    /** The first line of an answer to one envelope says that it was delivered; the body means nothing. */
+    /**
+     * The first line of an answer to one message says that it was delivered; the body means nothing. Where the connection
+     * has had an answer before, the body is what tells the two apart.
+     */
     private boolean saidDelivered() {
-        return cargo.length == 1 && caller.answersWith() == 200;
+        return cargo.length == 1 && caller.isFirst() && caller.isSent() && caller.answersWith() == HTTP_OK;
     }
 
     @Override
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -12,6 +12,7 @@
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.Caller;
+import yewpath.http.CloseReason;
 import yewpath.http.Writer;
 import yewpath.json.Tokens;
 import yewpath.loop.Limits;
@@ -163,9 +164,9 @@
                 spoilt.add(one.caller);
             }
         }
-        spoilt.forEach(Caller::close);
+        spoilt.forEach(caller -> caller.close(CloseReason.NOT_QUIET));
         if (links >= limits.endpointLinks() && !idle.isEmpty()) {
-            idle.peekFirst().caller.close();
+            idle.peekFirst().caller.close(CloseReason.MAKE_ROOM);
         }
         return opened(endpoint);
     }
@@ -183,7 +184,7 @@
     void over(Call call) {
         callsOut.remove(call);
         if (addresses[call.endpoint] == null || !addresses[call.endpoint].equals(call.caller.address())) {
-            call.caller.close();
+            call.caller.close(CloseReason.MOVED);
         } else if (!call.caller.isClosed()) {
             idle.addLast(new Idle(call.caller, call.endpoint, loop.now()));
             sweepLater();
@@ -201,7 +202,7 @@
     private void sweep() {
         sweeping = false;
         while (!idle.isEmpty() && idle.peekFirst().since + limits.endpointIdle() <= loop.now()) {
-            idle.peekFirst().caller.close();
+            idle.peekFirst().caller.close(CloseReason.IDLE);
         }
         sweepLater();
     }
@@ -210,7 +211,7 @@
     public void closeIdle(int endpoint) {
         for (Idle one : new ArrayList<>(idle)) {
             if (one.endpoint == endpoint) {
-                one.caller.close();
+                one.caller.close(CloseReason.IDLE);
             }
         }
     }
--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -4,6 +4,7 @@
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.Caller;
+import yewpath.http.CloseReason;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
 import yewpath.json.Values;
@@ -94,7 +95,7 @@
             if (quiet != null) {
                 quiet.callOff();
             }
-            quiet = loop.after(limits.watchSilence(), from::close);
+            quiet = loop.after(limits.watchSilence(), () -> from.close(CloseReason.SILENT));
         }
 
         @Override
@@ -141,7 +142,7 @@
                     Log.tell(Event.DIRECTORY_GARBLED, "cut off in the middle of an object");
                 }
             }
-            from.close();
+            from.close(CloseReason.NOT_KEPT);
             if (following || answer.status() != 200) {
                 ended(following);
             }
@@ -159,7 +160,7 @@
                 values.feed(answer.takeBody(), limits.lineMost());
             } catch (IllegalArgumentException garbled) {
                 Log.tell(Event.DIRECTORY_GARBLED, garbled.getMessage());
-                from.close();
+                from.close(CloseReason.UNREADABLE_LIST);
             }
         }
 
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -63,53 +63,69 @@
                                                                                         "An entry of the list, new or changed.",
                                                                                         "endpoint", "address",
                                                                                         "destination",
-                                                                                        "state"), DIRECTORY_GARBLED(
-                                                                                            "directory.garbled",
+                                                                                        "state"), ANSWER_FOREIGN(
+                                                                                            "answer.foreign",
                                                                                             Level.WARN,
-                                                                                            "A list that cannot be read is left out; the last one stays.",
-                                                                                            "why"), DIRECTORY_LOST(
-                                                                                                "directory.lost",
-                                                                                                Level.INFO,
-                                                                                                "A watch has ended; it is taken up anew.",
-                                                                                                "again_in_ms"), NOTICE_REFUSED(
-                                                                                                    "notice.refused",
-                                                                                                    Level.ERROR,
-                                                                                                    "The platform does not understand a notice: it is dropped.",
-                                                                                                    "id"), NOTICE_UNHEARD(
-                                                                                                        "notice.unheard",
+                                                                                            "An answer of an earlier request came while the next one was out; that one still waits for its own.",
+                                                                                            "address",
+                                                                                            "status"), ANSWER_UNCERTAIN(
+                                                                                                "answer.uncertain",
+                                                                                                Level.WARN,
+                                                                                                "An answer equals one that came before on its connection: the request may have run.",
+                                                                                                "address",
+                                                                                                "status"), CONNECTION_CLOSED(
+                                                                                                    "connection.closed",
+                                                                                                    Level.DEBUG,
+                                                                                                    "A connection to an endpoint or the platform is closed; request_out where a request had no answer yet.",
+                                                                                                    "address",
+                                                                                                    "why",
+                                                                                                    "request_out"), DIRECTORY_GARBLED(
+                                                                                                        "directory.garbled",
                                                                                                         Level.WARN,
-                                                                                                        "The platform has not answered notices: they go again.",
-                                                                                                        "count",
-                                                                                                        "again_in_ms"), LEDGER_TORN(
-                                                                                                            "ledger.torn",
-                                                                                                            Level.WARN,
-                                                                                                            "The last life ended in the middle of a write; nothing rested on that record.",
-                                                                                                            "bytes"), LEDGER_COMPACTED(
-                                                                                                                "ledger.compacted",
-                                                                                                                Level.INFO,
-                                                                                                                "The file was written anew with what is live.",
-                                                                                                                "from_bytes",
-                                                                                                                "to_bytes",
-                                                                                                                "live",
-                                                                                                                "took_ms"), LEDGER_FAILED(
-                                                                                                                    "ledger.failed",
-                                                                                                                    Level.ERROR,
-                                                                                                                    "The file cannot be written: the process ends.",
-                                                                                                                    "exception"), LOG_SUMMED(
-                                                                                                                        "log.summed",
-                                                                                                                        Level.INFO,
-                                                                                                                        "More of one event came than is written: so many lines were left out.",
-                                                                                                                        "of",
-                                                                                                                        "count"), LOG_DROPPED(
-                                                                                                                            "log.dropped",
-                                                                                                                            Level.WARN,
-                                                                                                                            "Lines found no room in the queue and were dropped.",
-                                                                                                                            "count"), LIBRARY(
-                                                                                                                                "library",
-                                                                                                                                Level.WARN,
-                                                                                                                                "Something that a library says.",
-                                                                                                                                "message",
-                                                                                                                                "exception");
+                                                                                                        "A list that cannot be read is left out; the last one stays.",
+                                                                                                        "why"), DIRECTORY_LOST(
+                                                                                                            "directory.lost",
+                                                                                                            Level.INFO,
+                                                                                                            "A watch has ended; it is taken up anew.",
+                                                                                                            "again_in_ms"), NOTICE_REFUSED(
+                                                                                                                "notice.refused",
+                                                                                                                Level.ERROR,
+                                                                                                                "The platform does not understand a notice: it is dropped.",
+                                                                                                                "id"), NOTICE_UNHEARD(
+                                                                                                                    "notice.unheard",
+                                                                                                                    Level.WARN,
+                                                                                                                    "The platform has not answered notices: they go again.",
+                                                                                                                    "count",
+                                                                                                                    "again_in_ms"), LEDGER_TORN(
+                                                                                                                        "ledger.torn",
+                                                                                                                        Level.WARN,
+                                                                                                                        "The last life ended in the middle of a write; nothing rested on that record.",
+                                                                                                                        "bytes"), LEDGER_COMPACTED(
+                                                                                                                            "ledger.compacted",
+                                                                                                                            Level.INFO,
+                                                                                                                            "The file was written anew with what is live.",
+                                                                                                                            "from_bytes",
+                                                                                                                            "to_bytes",
+                                                                                                                            "live",
+                                                                                                                            "took_ms"), LEDGER_FAILED(
+                                                                                                                                "ledger.failed",
+                                                                                                                                Level.ERROR,
+                                                                                                                                "The file cannot be written: the process ends.",
+                                                                                                                                "exception"), LOG_SUMMED(
+                                                                                                                                    "log.summed",
+                                                                                                                                    Level.INFO,
+                                                                                                                                    "More of one event came than is written: so many lines were left out.",
+                                                                                                                                    "of",
+                                                                                                                                    "count"), LOG_DROPPED(
+                                                                                                                                        "log.dropped",
+                                                                                                                                        Level.WARN,
+                                                                                                                                        "Lines found no room in the queue and were dropped.",
+                                                                                                                                        "count"), LIBRARY(
+                                                                                                                                            "library",
+                                                                                                                                            Level.WARN,
+                                                                                                                                            "Something that a library says.",
+                                                                                                                                            "message",
+                                                                                                                                            "exception");
 
     public final String label;
     final Level level;
--- a/relay/src/main/java/yewpath/http/Caller.java
+++ b/relay/src/main/java/yewpath/http/Caller.java
@@ -6,6 +6,8 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -21,6 +23,11 @@
         /** Some of a body has come; it may be taken out of the parser. */
         default void part(Parser answer) {}
 
+        /** Tells whose an answer is that has come whole; one that is not of this request is not handed on. */
+        default Recognition recognise(Parser answer) {
+            return Recognition.OWN_AND_LAST;
+        }
+
         void whole(Parser answer);
 
         /** Without an answer; {@code sent} tells whether the last byte had been written. */
@@ -32,6 +39,7 @@
     private final Limits limits;
     private final InetSocketAddress address;
     private final Parser parser;
+    private final AnswerHistory history = new AnswerHistory();
     private IoFuture<StreamConnection> opening;
     private Loop.Timer openWithin;
     private Link link;
@@ -40,6 +48,7 @@
     private boolean closed;
     private boolean kept;
     private boolean left;
+    private boolean foreignSeen;
     private Runnable afterEnd = () -> {};
 
     /** Connects to the address at the first request; answers are read up to this size. */
@@ -66,11 +75,11 @@
             send();
             return;
         }
-        openWithin = loop.after(limits.connectWithin(), this::close);
+        openWithin = loop.after(limits.connectWithin(), () -> close(CloseReason.CONNECT_TIMED_OUT));
         opening = loop.thread().openStreamConnection(address, this::opened, OPTIONS);
         opening.addNotifier((future, none) -> {
             if (future.getStatus() == IoFuture.Status.FAILED) {
-                close();
+                close(CloseReason.CONNECT_FAILED);
             }
         }, null);
     }
@@ -118,6 +127,11 @@
         return !kept;
     }
 
+    /** The answers that came on this connection. */
+    public AnswerHistory history() {
+        return history;
+    }
+
     /** Whether the first byte of the request has been written. */
     public boolean hasLeft() {
         return left;
@@ -135,7 +149,7 @@
             try {
                 whole = parser.read(link.in);
             } catch (HttpFault garbled) {
-                close();
+                close(CloseReason.UNREADABLE_ANSWER);
                 return;
             }
             if (!whole) {
@@ -144,22 +158,39 @@
             }
             if (parser.status() >= 200) {
                 finish();
-                return;
+            } else {
+                parser.next();
             }
-            parser.next();
         }
-        if (!closed) {
-            // Bytes that nobody asked for: what they belong to cannot be told.
-            close();
+        if (!closed && link.in.size() > 0) {
+            // What they belong to cannot be told.
+            close(CloseReason.UNASKED_BYTES);
         }
     }
 
     private void finish() {
+        switch (answer.recognise(parser)) {
+            case FOREIGN -> {
+                Log.tell(Event.ANSWER_FOREIGN, address, parser.status());
+                foreignSeen = true;
+                parser.next();
+                answer.part(parser);
+            }
+            case UNCERTAIN -> {
+                Log.tell(Event.ANSWER_UNCERTAIN, address, parser.status());
+                close(CloseReason.UNMATCHED_ANSWER);
+            }
+            case OWN -> finish(!foreignSeen);
+            default -> finish(false);
+        }
+    }
+
+    private void finish(boolean keep) {
         Answer then = answer;
         answer = null;
-        boolean again = parser.lasting() && link.in.size() == 0 && isSent() && !link.isEnded();
+        boolean again = keep && parser.lasting() && link.in.size() == 0 && isSent() && !link.isEnded();
         if (!again) {
-            close();
+            close(CloseReason.NOT_KEPT);
         }
         then.whole(parser);
     }
@@ -168,9 +199,8 @@
     public void over(boolean broken) {
         if (!broken && answer != null && parser.ended()) {
             finish();
-        } else {
-            close();
         }
+        close(broken ? CloseReason.RESET : CloseReason.ENDED);
     }
 
     public InetSocketAddress address() {
@@ -189,12 +219,15 @@
     }
 
     /** Closes the connection; a request under way ends without an answer. */
-    public void close() {
+    public void close(CloseReason reason) {
         if (closed) {
             return;
         }
         boolean sent = isSent();
         closed = true;
+        if (Log.tells(Event.CONNECTION_CLOSED)) {
+            Log.tell(Event.CONNECTION_CLOSED, address, reason, sent && answer != null);
+        }
         if (openWithin != null) {
             openWithin.callOff();
         }
@@ -214,6 +247,6 @@
     /** Closes without a word to whoever waits for an answer. */
     public void drop() {
         answer = null;
-        close();
+        close(CloseReason.CALL_OVER);
     }
 }
--- a/relay/src/main/java/yewpath/http/Parser.java
+++ b/relay/src/main/java/yewpath/http/Parser.java
@@ -72,9 +72,14 @@
         return null;
     }
 
+    /** The body as far as it has come. */
+    public byte[] body() {
+        return Arrays.copyOf(body, bodySize);
+    }
+
     /** The body as far as it has come; what was taken is not given again. */
     public byte[] takeBody() {
-        byte[] taken = Arrays.copyOf(body, bodySize);
+        byte[] taken = body();
         body = bodySize > 4096 ? new byte[0] : body;
         bodySize = 0;
         return taken;
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -10,6 +10,7 @@
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.Caller;
+import yewpath.http.CloseReason;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
 import yewpath.json.Tokens;
@@ -51,7 +52,7 @@
     public void move(InetSocketAddress address) {
         platform = address;
         if (caller != null) {
-            caller.close();
+            caller.close(CloseReason.REPLACED);
         }
         backoff = 0;
         if (pause != null) {
@@ -89,7 +90,8 @@
                 }
             }));
         // Longer after each failure, or a platform that is only slow would never be heard.
-        Loop.Timer within = loop.after(limits.noticeWithin() + backoff, caller::close);
+        Loop.Timer within = loop.after(limits.noticeWithin() + backoff,
+            () -> caller.close(CloseReason.NO_ANSWER));
         caller.ask(request, new Caller.Answer() {
             @Override
             public void whole(Parser answer) {
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -6,6 +6,7 @@
 import static yewpath.Stand.CUT;
 import static yewpath.Stand.OK;
 import static yewpath.Stand.SILENCE;
+import static yewpath.Stand.distinctOk;
 import static yewpath.Stand.until;
 
 import java.io.IOException;
@@ -62,7 +63,7 @@
 
     @Test
     public void passesIdAndBodyOnAndKeepsTheConnection() throws Exception {
-        Stand.Server endpoint = stand.endpoint(1, got -> OK);
+        Stand.Server endpoint = stand.endpoint(1, got -> distinctOk());
         stand.start();
         assertEquals(stand.handIn("a1", "status", 1, 5000), 202);
         until("delivered", 2000, () -> endpoint.got.size() == 1);
@@ -80,7 +81,7 @@
 
     @Test
     public void closesIdleConnectionsBeforeTheEndpointDoes() throws Exception {
-        Stand.Server endpoint = stand.endpoint(1, got -> OK);
+        Stand.Server endpoint = stand.endpoint(1, got -> distinctOk());
         stand.start();
         stand.handIn("a1", "status", 1, 5000);
         until("delivered", 2000, () -> endpoint.got.size() == 1);
@@ -93,7 +94,7 @@
 
     @Test
     public void aConnectionThatDiedWhileIdleIsNotUsed() throws Exception {
-        Stand.Server endpoint = stand.endpoint(1, got -> OK);
+        Stand.Server endpoint = stand.endpoint(1, got -> distinctOk());
         stand.start();
         stand.handIn("a1", "order", 1, 5000);
         until("delivered", 2000, () -> endpoint.got.size() == 1);
@@ -107,9 +108,9 @@
 
     @Test
     public void keptConnectionsThatDieUnseenAreNotUsedForLong() throws Exception {
-        Stand.Server endpoint = stand.endpoint("e1", 1, "plain", got -> OK);
+        Stand.Server endpoint = stand.endpoint("e1", 1, "plain", got -> distinctOk());
         endpoint.answer = got -> endpoint.got.stream().filter(g -> g.connection == got.connection).count() > 1
-            ? CUT : OK;
+            ? CUT : distinctOk();
         stand.start();
         for (int i = 1; i <= 12; i++) {
             stand.handIn("k" + i, "status", 1, 7900);
@@ -181,7 +182,7 @@
 
     @Test
     public void whatComesBehindAGoodAnswerIsNotTheNextOnes() throws Exception {
-        Stand.Server endpoint = stand.endpoint(1, got -> OK);
+        Stand.Server endpoint = stand.endpoint(1, got -> distinctOk());
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         Loop loop = new Loop(worker.getIoThread());
         Delivery delivery = new Delivery(loop, new Limits(name -> 0, 1_000_000, 2_000_000, Operator.STANDARD),
@@ -204,7 +205,8 @@
         loop.thread().execute(() -> {
             try {
                 // Comes while a round is at work, which sees nothing of it by itself.
-                endpoint.sockets.get(0).getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
+                endpoint.sockets.get(0).getOutputStream()
+                    .write(distinctOk().getBytes(StandardCharsets.ISO_8859_1));
             } catch (IOException e) {
                 outcomes.addAndGet(100);
             }
@@ -411,8 +413,8 @@
     @Test
     public void aConnectionIsNotKeptToWhereItsEndpointNoLongerStands() throws Exception {
         CountDownLatch moved = new CountDownLatch(1);
-        Stand.Server before = stand.endpoint(1, after(moved, got -> OK));
-        Stand.Server after = new Stand.Server(got -> OK);
+        Stand.Server before = stand.endpoint(1, after(moved, got -> distinctOk()));
+        Stand.Server after = new Stand.Server(got -> distinctOk());
         stand.start();
         assertEquals(stand.handIn("m1", "status", 1, 7900), 202);
         until("it is out", 2000, () -> before.got.size() == 1);
@@ -436,8 +438,8 @@
     @Test
     public void aConnectionOfACallThatOutlivedADrainIsNotUsedOn() throws Exception {
         CountDownLatch drains = new CountDownLatch(1);
-        Stand.Server endpoint = stand.endpoint(1, after(drains, got -> OK));
-        Stand.Server other = stand.endpoint(2, got -> OK);
+        Stand.Server endpoint = stand.endpoint(1, after(drains, got -> distinctOk()));
+        Stand.Server other = stand.endpoint(2, got -> distinctOk());
         stand.start();
         assertEquals(stand.handIn("d1", "order", 1, 9000), 202);
         until("it is out", 2000, () -> endpoint.got.size() == 1);
@@ -642,8 +644,9 @@
     @Test
     public void aFullTableIsNoLimitReached() throws Exception {
         stand.operator = "[log]\nlevel = \"debug\"\n";
-        List<String> answers = List.of(OK, status(503, "Connection: close"), status(503, "Connection: close"),
-            status(503, "Connection: close", "Retry-After: 0.010"), status(503), OK);
+        List<String> answers = List.of(distinctOk(), status(503, "Connection: close"),
+            status(503, "Connection: close"),
+            status(503, "Connection: close", "Retry-After: 0.010"), status(503), distinctOk());
         AtomicInteger asked = new AtomicInteger();
         stand.endpoint(1, got -> answers.get(Math.min(asked.getAndIncrement(), answers.size() - 1)));
         stand.start();
--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -30,6 +30,7 @@
     static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     /** The relay's own address: no stand-in can be given a port that a relay is to come back to. */
     static final String RELAY = "127.0.0.2";
+    private static final AtomicInteger ANSWERS = new AtomicInteger();
     /** Answers of a stand-in that are not bytes. */
     static final String SILENCE = "silence", CUT = "cut";
 
@@ -69,6 +70,12 @@
         }
     }
 
+    /** A success whose body no other answer has, so that its connection can be kept. */
+    static String distinctOk() {
+        String body = "answer " + ANSWERS.incrementAndGet();
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
     /** A server that answers each request by a function of it, and keeps what it got. */
     static final class Server implements AutoCloseable {
         final List<Got> got = new CopyOnWriteArrayList<>();
--- a/relay/src/test/java/yewpath/StrayAnswerTest.java
+++ b/relay/src/test/java/yewpath/StrayAnswerTest.java
@@ -13,10 +13,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** A second copy of an earlier answer comes while the next request on that connection is out. */
@@ -28,6 +34,11 @@
 
     private final Map<Integer, String> lastAnswers = new ConcurrentHashMap<>();
 
+    @BeforeMethod
+    public void forgetAnswers() {
+        lastAnswers.clear();
+    }
+
     /** Where the connection has had an answer before, sends that once more and works on for a while. */
     private void repeatLastAnswer(Stand.Server server, Stand.Got got, int workMs) {
         String earlier = lastAnswers.get(got.connection);
@@ -62,8 +73,16 @@
         assertTrue(server.got.size() >= MESSAGES);
     }
 
-    @Test
-    public void aCopyOfARefusalDoesNotSendAnOnceOnlyMessageAgain() throws Exception {
+    /** Answers that are all the same bytes, and such of which each has its own. */
+    @DataProvider
+    public Object[][] successes() {
+        Supplier<String> alike = () -> OK;
+        Supplier<String> distinct = Stand::distinctOk;
+        return new Object[][]{{alike}, {distinct}};
+    }
+
+    @Test(dataProvider = "successes")
+    public void aCopyOfARefusalDoesNotSendAnOnceOnlyMessageAgain(Supplier<String> success) throws Exception {
         List<String> ran = new ArrayList<>();
         Set<String> over = ConcurrentHashMap.newKeySet();
         Stand.Server[] server = {null};
@@ -77,15 +96,15 @@
             }
             over.add(got.id());
             repeatLastAnswer(server[0], got, 100);
-            return answer(got, OK);
+            return answer(got, success.get());
         });
         stand.start();
         handInAll("order", server[0], over);
         assertEquals(ran.size(), Set.copyOf(ran).size(), "run more than once: " + ran);
     }
 
-    @Test
-    public void aCopyOfASuccessDoesNotEndAMessageThatWasRefused() throws Exception {
+    @Test(dataProvider = "successes")
+    public void aCopyOfASuccessDoesNotEndAMessageThatWasRefused(Supplier<String> success) throws Exception {
         Set<String> delivered = ConcurrentHashMap.newKeySet();
         Stand.Server[] server = {null};
         server[0] = stand.endpoint(1, got -> {
@@ -94,7 +113,7 @@
                 return WAIT;
             }
             delivered.add(got.id());
-            return answer(got, OK);
+            return answer(got, success.get());
         });
         stand.start();
         for (int i = 0; i < MESSAGES; i++) {
@@ -208,4 +227,98 @@
             assertTrue(acknowledged.stream().anyMatch(body -> body.contains(id)), id + " was never heard");
         }
     }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][]{{1L, "plain"}, {2L, "bundled"}, {3L, "plain"}};
+    }
+
+    /** Copies of any earlier answer on the connection, ahead of the true one, in the middle of the work or behind it. */
+    @Test(dataProvider = "seeds")
+    public void copiesAtAnyTimeBreakNoRule(long seed, String kind) throws Exception {
+        stand.holdMost = 200;
+        CopyingEndpoint copying = new CopyingEndpoint(seed);
+        copying.server = stand.endpoint("e1", 1, kind, copying);
+        stand.start();
+        for (int i = 0; i < 2 * MESSAGES; i++) {
+            assertEquals(stand.handIn("m" + i, i % 2 == 0 ? "order" : "status", 1, 3_000), 202);
+            Stand.pause(10);
+        }
+        until("nothing is held any more", 8_000,
+            () -> stand.figure("open") == 0 && stand.figure("notices_owed") == 0);
+        assertEquals(copying.faults, List.of());
+        for (int i = 0; i < 2 * MESSAGES; i++) {
+            String id = "m" + i;
+            assertTrue(copying.delivered.contains(id) || stand.ended(id, "outcome"), id + " is lost");
+        }
+    }
+
+    /** Works for a while, answers as the seed has it, and sends copies of its earlier answers. */
+    private static final class CopyingEndpoint implements Function<Stand.Got, String> {
+        private static final List<String> REFUSALS = List.of(BUSY,
+            "HTTP/1.1 429 X\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n");
+
+        final List<String> faults = new CopyOnWriteArrayList<>();
+        final Set<String> delivered = ConcurrentHashMap.newKeySet();
+        private final Set<String> ran = ConcurrentHashMap.newKeySet();
+        private final Map<String, Integer> out = new ConcurrentHashMap<>();
+        private final Map<Integer, List<String>> answers = new ConcurrentHashMap<>();
+        private final Random random;
+        private Stand.Server server;
+
+        CopyingEndpoint(long seed) {
+            random = new Random(seed);
+        }
+
+        private synchronized int draw(int bound) {
+            return random.nextInt(bound);
+        }
+
+        @Override
+        public String apply(Stand.Got got) {
+            List<String> ids = ids(got);
+            boolean refuses = draw(4) == 0;
+            for (String id : ids) {
+                begin(id, refuses);
+            }
+            copy(got);
+            boolean open = staysOpen(server, got, 1 + draw(60));
+            copy(got);
+            ids.forEach(id -> out.merge(id, -1, Integer::sum));
+            if (!open) {
+                return Stand.CUT;
+            }
+            String answer = refuses ? REFUSALS.get(draw(2))
+                : got.line.contains("bulk") ? done(ids) : draw(2) == 0 ? OK : Stand.distinctOk();
+            answers.computeIfAbsent(got.connection, any -> new CopyOnWriteArrayList<>()).add(answer);
+            if (!refuses) {
+                delivered.addAll(ids);
+            }
+            return draw(6) == 0 ? answer + answer : answer;
+        }
+
+        private void begin(String id, boolean refuses) {
+            if (out.merge(id, 1, Integer::sum) > 1) {
+                faults.add(id + " was out twice");
+            }
+            boolean onceOnly = Integer.parseInt(id.substring(1)) % 2 == 0;
+            if (!refuses && !ran.add(id) && onceOnly) {
+                faults.add(id + " ran twice");
+            }
+            if (refuses && onceOnly && ran.contains(id)) {
+                faults.add(id + " was sent again after it ran");
+            }
+        }
+
+        private void copy(Stand.Got got) {
+            List<String> earlier = answers.getOrDefault(got.connection, List.of());
+            if (!earlier.isEmpty() && draw(2) == 0) {
+                try {
+                    write(server, got, earlier.get(draw(earlier.size())));
+                } catch (UncheckedIOException closed) {
+                    return;
+                }
+            }
+        }
+    }
 }
