--- a/decisions/src/main/java/yewpath/Settings.java
+++ b/decisions/src/main/java/yewpath/Settings.java
@@ -4,7 +4,9 @@
 public final class Settings {
     /** How often a message may take effect: any number of times, once by its tag, or at most once. */
     public enum Kind {
-        REPEATABLE, TAGGED, ONCE_ONLY
+        REPEATABLE,
+        TAGGED,
+        ONCE_ONLY
     }
 
     /** {@code memory} and {@code oneZone} say how long, and where, a repeat of a tagged envelope is known. */
--- a/lab/src/main/java/yewpath/lab/referee/Referee.java
+++ b/lab/src/main/java/yewpath/lab/referee/Referee.java
@@ -13,7 +13,13 @@
 public final class Referee {
     /** The rules by number, as the operators' pages have them. */
     public enum Rule {
-        LOST, TWICE, AT_ONCE, DRAIN, PUSHED_OVER, ORDER, WAIT
+        LOST,
+        TWICE,
+        AT_ONCE,
+        DRAIN,
+        PUSHED_OVER,
+        ORDER,
+        WAIT
     }
 
     /** A rule was broken: what, and the trace. */
@@ -28,12 +34,24 @@
     }
 
     private enum What {
-        HANDED_IN, TAKEN, REFUSED, SENT, ARRIVED, RAN, CALL_OVER, FULFILLED, DEFERRED, ABORTED, RESTORED
+        HANDED_IN,
+        TAKEN,
+        REFUSED,
+        SENT,
+        ARRIVED,
+        RAN,
+        CALL_OVER,
+        FULFILLED,
+        DEFERRED,
+        ABORTED,
+        RESTORED
     }
 
     /** The kinds of message class that the rules distinguish. */
     public enum Kind {
-        REPEATABLE, TAGGED, ONCE_ONLY
+        REPEATABLE,
+        TAGGED,
+        ONCE_ONLY
     }
 
     private static final long SAME_MOMENT = 50_000, AFTER_RESTART = 1_500_000;
--- a/lab/src/test/java/yewpath/lab/DecisionFleet.java
+++ b/lab/src/test/java/yewpath/lab/DecisionFleet.java
@@ -39,7 +39,15 @@
     }
 
     private enum State {
-        WELL, TURNS_AWAY, SILENT_CONNECT, SILENT, ERRORS, SLOW, RESETS, DROPS_IDLE, LOSES_ANSWERS
+        WELL,
+        TURNS_AWAY,
+        SILENT_CONNECT,
+        SILENT,
+        ERRORS,
+        SLOW,
+        RESETS,
+        DROPS_IDLE,
+        LOSES_ANSWERS
     }
 
     private static final class Endpoint {
--- a/relay/src/main/java/yewpath/http/Parser.java
+++ b/relay/src/main/java/yewpath/http/Parser.java
@@ -7,7 +7,16 @@
 
 /** Reads one HTTP/1.1 message after another from a ring, as far as its bytes have come. */
 public final class Parser {
-    private enum Stage { START, HEADERS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, WHOLE }
+    private enum Stage {
+        START,
+        HEADERS,
+        FIXED,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
+        TO_END,
+        WHOLE }
 
     private final boolean requests;
     private final int headMost;
--- a/relay/src/main/java/yewpath/relay/Closing.java
+++ b/relay/src/main/java/yewpath/relay/Closing.java
@@ -22,7 +22,8 @@
          */
         FINISHING,
         /** Who has connected is let in, nobody after that; left when each has had its answer and gone, or at the bound. */
-        SHUTTING, GONE
+        SHUTTING,
+        GONE
     }
 
     private final Loop loop;
--- a/standins/src/main/java/yewpath/standins/referee/Accounts.java
+++ b/standins/src/main/java/yewpath/standins/referee/Accounts.java
@@ -13,10 +13,17 @@
  */
 public final class Accounts implements Ear {
     /** How an offering may be repeated. */
-    public enum Kind { REPEATABLE, TAGGED, ONCE_ONLY }
+    public enum Kind {
+        REPEATABLE,
+        TAGGED,
+        ONCE_ONLY }
 
     /** How an envelope stands. */
-    public enum End { OPEN, FULFILLED, DEFERRED, ABORTED }
+    public enum End {
+        OPEN,
+        FULFILLED,
+        DEFERRED,
+        ABORTED }
 
     /** One envelope. */
     public static final class Account {
