A write to the lasting folder that fails ends no process and loses nothing

What callers saw: at the first write that failed (EIO, ENOSPC, a file size limit) the relay ended with exit code 1, connections ended without an answer; a log of over 8 MB ended the next start with OutOfMemoryError, exit code 1 as well.

Cause: Relay.flush halted the process; Ledger.writeAll could leave half a record in front of later ones; a failed compaction had already cleared what was pending; the whole file was read and written in one call, for which the virtual machine takes as much direct memory.

Change: records stay pending until written. After a failure the next write replaces the whole file (LogFile), so nothing follows a torn record; what one flush writes is read back whole or not at all, so an envelope that was refused since its round could not be written does not come back. Meanwhile new envelopes get 503, attempts do not leave, /health/ready gives 503; an end is told once written, or once its time is up. A whole record of unknown kind is skipped with an event; it used to end its envelope.

--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -192,6 +192,10 @@
         for (Cargo one : cargo) {
             one.leaving();
         }
+        if (!delivery.attemptsAreWritten()) {
+            takeBack();
+            return false;
+        }
         return true;
     }
 
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.Caller;
@@ -25,6 +26,7 @@
     private final Loop loop;
     private final Limits limits;
     private final List<String> reportFields;
+    private final BooleanSupplier writeAttempts;
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();
     /** Where calls to each endpoint go; null where none may. */
     private InetSocketAddress[] addresses = new InetSocketAddress[32];
@@ -32,13 +34,21 @@
     private final Set<Call> callsOut = new LinkedHashSet<>();
     private boolean sweeping;
 
-    /** Takes load reports from answers where they have these fields. */
-    public Delivery(Loop loop, Limits limits, List<String> reportFields) {
+    /**
+     * Takes load reports from answers where they have these fields; {@code writeAttempts} writes the records of attempts that are
+     * about to leave, and tells whether it could.
+     */
+    public Delivery(Loop loop, Limits limits, List<String> reportFields, BooleanSupplier writeAttempts) {
+        this.writeAttempts = writeAttempts;
         this.loop = loop;
         this.limits = limits;
         this.reportFields = reportFields;
     }
 
+    boolean attemptsAreWritten() {
+        return writeAttempts.getAsBoolean();
+    }
+
     public int callsOut() {
         return callsOut.size();
     }
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -140,7 +140,24 @@
     LEDGER_FAILED(
         "ledger.failed",
         Level.ERROR,
-        "The file cannot be written: the process ends.",
+        "The lasting folder cannot be written: nothing new is taken on or sent until it can.",
+        "exception"),
+    LEDGER_RECOVERED(
+        "ledger.recovered",
+        Level.INFO,
+        "The lasting folder can be written again, and holds all that is live.",
+        "live"),
+    LEDGER_LEFTOVER(
+        "ledger.leftover",
+        Level.WARN,
+        "A file that was not finished could not be removed.",
+        "path",
+        "exception"),
+    LEDGER_RECORD_SKIPPED(
+        "ledger.record_skipped",
+        Level.ERROR,
+        "A whole record means nothing to this program: it is left out.",
+        "type",
         "exception"),
     LOG_SUMMED(
         "log.summed",
--- a/relay/src/main/java/yewpath/intake/Desk.java
+++ b/relay/src/main/java/yewpath/intake/Desk.java
@@ -12,6 +12,9 @@
 
     boolean isClosing();
 
+    /** Whether envelopes can be taken on. */
+    boolean isReady();
+
     boolean knows(String offering);
 
     /** One line of figures for whoever watches over the relay. */
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -173,7 +173,7 @@
                 answer(Writer.answer(200).with("Content-Type", "application/json"),
                     desk.figures());
             } else {
-                answer(Writer.answer(path.equals("/health/live") || !desk.isClosing() ? 200 : 503),
+                answer(Writer.answer(path.equals("/health/live") || desk.isReady() ? 200 : 503),
                     new byte[0]);
             }
             return;
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -1,30 +1,36 @@
 package yewpath.ledger;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.loop.ClockReading;
 
 /**
- * The file that outlives the process: one record after another, each with its length and checksum. What was
- * written to it before a kill is there afterwards, without any sync; a record cut short is dropped.
+ * What outlives the process: one record after another, each with its length and checksum. What was written before a
+ * kill is there afterwards, without any sync; a record cut short is dropped. While the folder cannot be written, records
+ * stay pending and nothing that rests on them may leave.
  */
 public final class Ledger {
-    static final byte TAKEN = 1, SHOT = 2, BACK = 3, OWED = 4, OVER = 5, CLOCK = 6;
-    private static final String FILE = "ledger", NEXT = "ledger.next";
+    static final byte TAKEN = 1;
+    static final byte SHOT = 2;
+    static final byte BACK = 3;
+    static final byte OWED = 4;
+    static final byte OVER = 5;
+    static final byte CLOCK = 6;
+    static final byte BATCH = 7;
 
-    private final Path folder;
+    /** A record that is not written yet, and the number of the entry it is about. */
+    private record Pending(long number, byte[] bytes) {}
+
+    private final LogFile file;
     private final long liveMost;
     private final long anewAt;
     /** Shots and ends of an envelope taken on must always find room: set aside for each from the start. */
@@ -32,31 +38,24 @@
     /** In whose time all entries are. */
     private ClockReading clock;
     private final Map<Long, Entry> live = new LinkedHashMap<>();
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    private FileChannel file;
-    private long fileBytes;
+    private final List<Pending> pending = new ArrayList<>();
+    private int pendingBytes;
+    private boolean writable = true;
     private long liveBytes;
     private long lastNumber;
 
-    /** Opens the log in a folder and replays what an earlier process left there. */
+    /** Replays what an earlier process left in a folder; fails only where that cannot be read. */
     public Ledger(Path folder, long liveMost, long anewAt, int aside, ClockReading now) throws IOException {
-        this.folder = folder;
         this.liveMost = liveMost;
         this.anewAt = anewAt;
         this.aside = aside;
-        Files.createDirectories(folder);
-        Files.deleteIfExists(folder.resolve(NEXT));
-        Path path = folder.resolve(FILE);
-        if (Files.exists(path)) {
-            long whole = Records.play(Files.readAllBytes(path), this::restore);
-            if (whole < Files.size(path)) {
-                Log.tell(Event.LEDGER_TORN, Files.size(path) - whole);
-            }
+        file = new LogFile(folder);
+        long torn = file.replay(this::restore);
+        if (torn > 0) {
+            Log.tell(Event.LEDGER_TORN, torn);
         }
-        takeOverTimes(now);
-        // A shot that was out when the process ended may have run, and may yet.
-        live.values().forEach(Entry::outIsDoubt);
-        writeAnew();
+        takeOver(now);
+        rewrite();
     }
 
     public Collection<Entry> live() {
@@ -68,7 +67,7 @@
     }
 
     public long bytes() {
-        return fileBytes;
+        return file.length();
     }
 
     /** Whether one more envelope could be kept to its end. */
@@ -86,7 +85,7 @@
 
     public void taken(Entry e) {
         add(e);
-        append(Records.taken(e));
+        append(e, Records.taken(e));
     }
 
     /** Records that an attempt is about to leave, before its first byte does. */
@@ -94,7 +93,7 @@
         e.shots++;
         e.outSince = at;
         e.outZone = zone;
-        append(Records.shot(e));
+        append(e, Records.shot(e));
     }
 
     /** The shot that was out has come to its end. */
@@ -106,7 +105,7 @@
             e.outSince = -1;
         }
         e.outIsDoubt();
-        append(Records.back(e, neverRan));
+        append(e, Records.back(e, neverRan));
     }
 
     /** Records that the message ended without delivery and its notice is owed. */
@@ -115,7 +114,7 @@
         e.handedBack = handedBack;
         e.pause = pause;
         dropBody(e);
-        append(Records.owed(e));
+        append(e, Records.owed(e));
     }
 
     private void add(Entry e) {
@@ -138,73 +137,97 @@
     /** Records that nothing is owed for the message any more. */
     public void over(Entry e) {
         if (remove(e)) {
-            append(Records.over(e));
+            append(e, Records.over(e));
         }
     }
 
-    private void append(byte[] record) {
-        pending.writeBytes(record);
+    /** Takes back an entry of which no record is written yet. */
+    public void discard(Entry e) {
+        remove(e);
+        pending.removeIf(record -> record.number == e.number);
+        pendingBytes = pending.stream().mapToInt(record -> record.bytes.length).sum();
     }
 
-    /** Hands all records to the system; only then may anything that rests on them leave. */
-    public void flush() throws IOException {
-        if (pending.size() == 0) {
-            return;
-        }
-        if (fileBytes + pending.size() > anewAt) {
-            pending.reset();
-            writeAnew();
-            return;
+    private void append(Entry e, byte[] record) {
+        pending.add(new Pending(e.number, record));
+        pendingBytes += record.length;
+    }
+
+    /** Whether the last write succeeded. */
+    public boolean isWritable() {
+        return writable;
+    }
+
+    /** Hands all records to the system; where that fails they stay pending, and nothing may leave that rests on them. */
+    public boolean flush() {
+        if (!writable || pendingBytes > 0) {
+            boolean fits = pendingBytes < Records.LONGEST && file.length() + pendingBytes <= anewAt;
+            if (writable && file.canAppend() && fits) {
+                appendPending();
+            } else {
+                rewrite();
+            }
         }
-        writeAll(file, ByteBuffer.wrap(pending.toByteArray()));
-        fileBytes += pending.size();
-        pending.reset();
+        return writable;
     }
 
-    private static void writeAll(FileChannel to, ByteBuffer bytes) throws IOException {
-        while (bytes.hasRemaining()) {
-            to.write(bytes);
+    private void appendPending() {
+        try {
+            file.append(Records.batch(pending.stream().map(Pending::bytes).toList()));
+            written();
+        } catch (IOException e) {
+            failed(e);
         }
     }
 
-    /** The old file stays until the new one is whole; a kill in between leaves one of them. */
-    private void writeAnew() throws IOException {
+    /** Writes what is live in place of the file. */
+    private void rewrite() {
         long begun = System.nanoTime();
-        long before = fileBytes;
-        ByteArrayOutputStream all = new ByteArrayOutputStream();
-        all.writeBytes(Records.clock(clock));
-        for (Entry e : live.values()) {
-            all.writeBytes(Records.whole(e));
+        long before = file.length();
+        Stream<byte[]> records = Stream.concat(Stream.of(Records.clock(clock)),
+            live.values().stream().map(Records::whole));
+        try {
+            file.replace(records::iterator);
+            if (before > 0) {
+                Log.tell(Event.LEDGER_COMPACTED, before, file.length(), live.size(),
+                    (System.nanoTime() - begun) / 1_000_000);
+            }
+            written();
+        } catch (IOException e) {
+            failed(e);
         }
-        Path next = folder.resolve(NEXT);
-        FileChannel written = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING);
-        writeAll(written, ByteBuffer.wrap(all.toByteArray()));
-        Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
-            StandardCopyOption.REPLACE_EXISTING);
-        if (file != null) {
-            file.close();
+    }
+
+    private void written() {
+        pending.clear();
+        pendingBytes = 0;
+        if (!writable) {
+            Log.tell(Event.LEDGER_RECOVERED, live.size());
         }
-        boolean first = file == null;
-        file = written;
-        fileBytes = all.size();
-        if (!first) {
-            Log.tell(Event.LEDGER_COMPACTED, before, fileBytes, live.size(),
-                (System.nanoTime() - begun) / 1_000_000);
+        writable = true;
+    }
+
+    private void failed(IOException e) {
+        if (writable) {
+            Log.tell(Event.LEDGER_FAILED, e);
         }
+        writable = false;
     }
 
-    /** What was read so far is in the time of an earlier process. */
-    private void takeOverTimes(ClockReading next) {
+    /** What was read so far is from an earlier process: in its time, and what was out may have run, and may yet. */
+    private void takeOver(ClockReading next) {
         long offset = clock == null ? 0 : next.offsetFrom(clock);
-        live.values().forEach(entry -> entry.shiftTimes(offset));
+        for (Entry entry : live.values()) {
+            entry.shiftTimes(offset);
+            entry.outIsDoubt();
+        }
         clock = next;
     }
 
     private void restore(byte type, ByteBuffer fields) {
         long number = fields.getLong();
         if (type == CLOCK) {
-            takeOverTimes(Records.readClock(fields));
+            takeOver(Records.readClock(fields));
             return;
         }
         lastNumber = Math.max(lastNumber, number);
@@ -228,7 +251,8 @@
                 Records.readOwed(e, fields);
                 dropBody(e);
             }
-            default -> remove(e);
+            case OVER -> remove(e);
+            default -> throw new IllegalArgumentException("no such type of record");
         }
     }
 }
--- a/relay/src/main/java/yewpath/ledger/Records.java
+++ b/relay/src/main/java/yewpath/ledger/Records.java
@@ -1,18 +1,26 @@
 package yewpath.ledger;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.zip.CRC32;
+import yewpath.events.Event;
+import yewpath.events.Log;
 import yewpath.loop.ClockReading;
 
 /** How records lie in the file: length, checksum, type, envelope's number, fields. */
 final class Records {
     private static final int FRAME = 8;
     private static final int LEAST = 9;
+    /** A length above this is none that was written. */
+    static final int LONGEST = (int) Math.min(16 << 20, Runtime.getRuntime().maxMemory() / 8);
 
     /** What to do with one record read back. */
     interface Sink {
@@ -26,24 +34,55 @@
 
     private Records() {}
 
-    /** Returns how many bytes from the start are whole records. */
-    static long play(byte[] bytes, Sink sink) {
-        ByteBuffer all = ByteBuffer.wrap(bytes);
-        while (all.remaining() >= FRAME + LEAST) {
-            int start = all.position();
-            int length = all.getInt();
-            int sum = all.getInt();
-            if (length < LEAST || length > all.remaining()) {
-                return start;
+    /**
+     * Hands on one record after another, up to the first that is not whole; returns how many bytes that are. A batch counts
+     * whole or not at all.
+     */
+    static long play(InputStream in, long size, Sink sink) throws IOException {
+        DataInputStream data = new DataInputStream(in);
+        long played = 0;
+        while (size - played >= FRAME + LEAST) {
+            int length = data.readInt();
+            int sum = data.readInt();
+            if (length < LEAST || length > Math.min(LONGEST, size - played - FRAME)) {
+                return played;
             }
-            ByteBuffer record = all.slice(all.position(), length);
-            if (sum(bytes, all.position(), length) != sum) {
-                return start;
+            byte[] fields = data.readNBytes(length);
+            if (fields.length < length || sum(fields, 0, length) != sum) {
+                return played;
             }
-            all.position(all.position() + length);
-            sink.record(record.get(), record);
+            playRecord(fields, sink);
+            played += FRAME + length;
         }
-        return all.position();
+        return played;
+    }
+
+    private static void playRecord(byte[] fields, Sink sink) throws IOException {
+        ByteBuffer record = ByteBuffer.wrap(fields);
+        byte type = record.get();
+        if (type == Ledger.BATCH) {
+            int start = LEAST;
+            play(new ByteArrayInputStream(fields, start, fields.length - start), fields.length - start, sink);
+            return;
+        }
+        try {
+            sink.record(type, record);
+        } catch (RuntimeException unknown) {
+            // Whole, so written by a program that means something else by it.
+            Log.tell(Event.LEDGER_RECORD_SKIPPED, type, unknown);
+        }
+    }
+
+    /** Returns the records as one that is read back whole or not at all. */
+    static byte[] batch(List<byte[]> records) {
+        if (records.size() == 1) {
+            return records.get(0);
+        }
+        return record(Ledger.BATCH, 0, out -> {
+            for (byte[] one : records) {
+                out.write(one);
+            }
+        });
     }
 
     private static int sum(byte[] bytes, int from, int length) {
--- a/relay/src/main/java/yewpath/loop/Loop.java
+++ b/relay/src/main/java/yewpath/loop/Loop.java
@@ -90,7 +90,7 @@
     public static void safely(Runnable act) {
         try {
             act.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             Log.tell(Event.RELAY_FAULT, e);
         }
     }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -1,12 +1,13 @@
 package yewpath.relay;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import yewpath.Egress;
 import yewpath.Logic;
@@ -47,6 +48,9 @@
         "cancelled",
         "moot", "stale"};
 
+    private static final long MILLISECOND = 1_000;
+    private static final long WRITE_AGAIN_AFTER = 50 * MILLISECOND;
+
     private final Loop loop;
     private final Ledger ledger;
     private final Boot boot;
@@ -67,6 +71,9 @@
     private final List<Held> taken = new ArrayList<>();
     private final List<Runnable> acts = new ArrayList<>();
     private final Map<Integer, Sending> joining = new HashMap<>();
+    /** Ends that are not told yet, since they could not be written down. */
+    private final Set<Entry> unwrittenEnds = new LinkedHashSet<>();
+    private long writeAgainAt;
     private long rounds;
     private long takenEver;
     private long fulfilledEver;
@@ -89,7 +96,7 @@
         tellsPause = settings.tellsPause;
         envelopes = new Envelopes(settings.settleAfterDoubt);
         closing = new Closing(loop, limits);
-        delivery = new Delivery(loop, limits, boot.reportFields);
+        delivery = new Delivery(loop, limits, boot.reportFields, this::flush);
         notices = new Notices(loop, limits, config.discovery, this::told);
         loop.eachRound(this::round);
         logic = new Logic(settings, config.seed, this, loop.now());
@@ -156,10 +163,12 @@
         long now = loop.now();
         logic.at(now);
         loop.playGathered();
-        boolean maySend = closing.mayShoot(now) && !listIsOld(now);
+        boolean maySend = closing.mayShoot(now) && !listIsOld(now) && ledger.isWritable();
         Loop.safely(() -> logic.turn(maySend));
         joining.clear();
-        flush();
+        if (!flush()) {
+            refuseTaken();
+        }
         answerClients();
         for (Runnable act : acts) {
             Loop.safely(act);
@@ -168,15 +177,37 @@
         flush();
     }
 
-    private void flush() {
-        try {
-            ledger.flush();
-        } catch (IOException e) {
-            // Nothing may leave that the ledger does not hold: what was promised is in the file as it stands.
-            Log.tell(Event.LEDGER_FAILED, e);
-            Log.flush(200);
-            Runtime.getRuntime().halt(1);
+    /** Whether all records are written; while the folder fails it is tried again from time to time only. */
+    private boolean flush() {
+        boolean failedBefore = !ledger.isWritable();
+        if (failedBefore && loop.now() < writeAgainAt) {
+            return false;
         }
+        if (ledger.flush()) {
+            if (failedBefore) {
+                unwrittenEnds.forEach(notices::add);
+                unwrittenEnds.clear();
+                loop.ask();
+            }
+            return true;
+        }
+        writeAgainAt = loop.now() + WRITE_AGAIN_AFTER;
+        loop.after(WRITE_AGAIN_AFTER, loop::ask);
+        return false;
+    }
+
+    /** What could not be written down is not taken on. */
+    private void refuseTaken() {
+        for (Held one : List.copyOf(taken)) {
+            ledger.discard(one.entry);
+            if (!one.over) {
+                refuse(one.entry.id, "disk", one.reply);
+                one.reply = null;
+                one.left = true;
+                loop.gather(() -> withdraw(one));
+            }
+        }
+        taken.clear();
     }
 
     // ---- Intake
@@ -186,6 +217,11 @@
         return closing.hasBegun();
     }
 
+    @Override
+    public boolean isReady() {
+        return !isClosing() && ledger.isWritable();
+    }
+
     @Override
     public boolean knows(String offering) {
         return boot.offerings.find(offering) >= 0;
@@ -200,6 +236,7 @@
             out.writeNumberField("endpoint_links", delivery.links());
             out.writeNumberField("notices_owed", notices.owed());
             out.writeNumberField("ledger_bytes", ledger.bytes());
+            out.writeBooleanField("ledger_writable", ledger.isWritable());
             out.writeNumberField("rounds", rounds);
             out.writeNumberField("taken", takenEver);
             out.writeNumberField("fulfilled", fulfilledEver);
@@ -229,16 +266,13 @@
             return;
         }
         Entry entry = ledger.draft(id, offering, tenant, key, tag, destination, expiry, body);
-        String refusal = isClosing() ? "closing"
+        String refusal = isClosing() ? "closing" : !ledger.isWritable() ? "disk"
             : envelopes.open() >= holdLimit ? "hold" : !ledger.hasRoom(entry) ? "ledger"
                 // Held, it would take the room of others until its expiry, and each such number would be kept for good; but
                 // the list that names it may only be late, so the client is to come again.
                 : !endpoints.knowsDestination(destination) ? "unlisted" : null;
         if (refusal != null) {
-            if (Log.tells(Event.ENVELOPE_REFUSED)) {
-                Log.tell(Event.ENVELOPE_REFUSED, id, refusal);
-            }
-            reply.with(503, tellsPause ? logic.awayFor() : 0);
+            refuse(id, refusal, reply);
             return;
         }
         // Written down at once, so that the next of the same round finds what room is left.
@@ -254,6 +288,13 @@
         hand(one, boot.offerings.find(offering), 0);
     }
 
+    private void refuse(String id, String why, Reply reply) {
+        if (Log.tells(Event.ENVELOPE_REFUSED)) {
+            Log.tell(Event.ENVELOPE_REFUSED, id, why);
+        }
+        reply.with(503, tellsPause ? logic.awayFor() : 0);
+    }
+
     /** The first thing to leave in a round: that envelopes handed in are taken on. */
     private void answerClients() {
         List<Held> due = List.copyOf(taken);
@@ -374,7 +415,6 @@
         @Override
         public void leaving() {
             ledger.shot(one.entry, loop.now(), endpoints.zone(endpoint));
-            flush();
             if (Log.tells(Event.ENVELOPE_SHOT)) {
                 Log.tell(Event.ENVELOPE_SHOT, one.entry.id, number, endpoints.name(endpoint));
             }
@@ -488,11 +528,24 @@
         }
     }
 
+    /**
+     * An end that is not written down could be forgotten by a restart, and the envelope tried after its end was told; once
+     * its time is up nobody tries it any more.
+     */
     private void owe(Entry entry) {
         if (isOrdered(entry)) {
             keyOrder.begin(entry.key, entry);
         }
-        notices.add(entry);
+        if (ledger.isWritable()) {
+            notices.add(entry);
+            return;
+        }
+        unwrittenEnds.add(entry);
+        loop.after(entry.expiry - loop.now(), () -> {
+            if (unwrittenEnds.remove(entry)) {
+                notices.add(entry);
+            }
+        });
     }
 
     private void told(Entry entry) {
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -44,7 +44,7 @@
             .set(Options.WORKER_TASK_CORE_THREADS, 1).getMap());
         loop = new Loop(worker.getIoThread());
         limits = new Limits(name -> 0, 2_000_000, 2_000_000, Operator.STANDARD);
-        delivery = new Delivery(loop, limits, List.of());
+        delivery = new Delivery(loop, limits, List.of(), () -> true);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -175,6 +175,11 @@
             return false;
         }
 
+        @Override
+        public boolean isReady() {
+            return true;
+        }
+
         @Override
         public boolean knows(String offering) {
             return true;
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -186,7 +186,7 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         Loop loop = new Loop(worker.getIoThread());
         Delivery delivery = new Delivery(loop, new Limits(name -> 0, 1_000_000, 2_000_000, Operator.STANDARD),
-            List.of());
+            List.of(), () -> true);
         AtomicInteger outcomes = new AtomicInteger();
         Call.Cargo cargo = (Call.Cargo) Proxy.newProxyInstance(Call.Cargo.class.getClassLoader(),
             new Class<?>[]{Call.Cargo.class}, (proxy, method, args) -> switch (method.getName()) {
