A start waits for a folder that cannot be read, and puts aside what is no log

What callers saw: a relay whose folder could not be read for a moment, or whose new disk held a directory under the log's name, did not start (exit code 2); an exception or error that nobody caught ended it with exit code 1.

Cause: Serve.start built the ledger once and gave up at the first failure; Main caught only what it expected.

Change: a folder that cannot be read is tried again ten times a second for 25 s (a relay has to be ready within 30 s), then the start ends with exit code 2 and the reason; a path that is no folder ends it at once. What is no file is renamed. Any other failure of a start gives one line, exit code 2.

--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -159,6 +159,8 @@
             Serve.start(Config.read(told.config, told.operator, System.getenv()), signals);
         } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
+        } catch (RuntimeException | Error e) {
+            fail("cannot start: " + e);
         }
     }
 
@@ -200,7 +202,7 @@
     }
 
     private static void fail(String message) {
-        for (String line : message.split("\n")) {
+        for (String line : String.valueOf(message).split("\n")) {
             System.err.println("yewpath: " + line.replaceAll("\\s+", " "));
         }
         System.exit(2);
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -147,6 +147,17 @@
         Level.INFO,
         "The lasting folder can be written again, and holds all that is live.",
         "live"),
+    LEDGER_UNREADABLE(
+        "ledger.unreadable",
+        Level.ERROR,
+        "The start waits for the lasting folder to be readable.",
+        "exception"),
+    LEDGER_SET_ASIDE(
+        "ledger.set_aside",
+        Level.WARN,
+        "What lay where the log belongs was no file, and is renamed.",
+        "from",
+        "to"),
     LEDGER_LEFTOVER(
         "ledger.leftover",
         Level.WARN,
--- a/relay/src/main/java/yewpath/ledger/LogFile.java
+++ b/relay/src/main/java/yewpath/ledger/LogFile.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.LinkOption;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -21,6 +22,7 @@
 final class LogFile {
     private static final String NAME = "ledger";
     private static final String NEXT_NAME = "ledger.next";
+    private static final String SET_ASIDE_SUFFIX = ".unusable";
     /** A write takes direct memory of its own size. */
     private static final int SLICE_BYTES = 64 * 1024;
 
@@ -36,9 +38,27 @@
         path = folder.resolve(NAME);
         next = folder.resolve(NEXT_NAME);
         Files.createDirectories(folder);
+        setAside(path);
+        setAside(next);
         Files.deleteIfExists(next);
     }
 
+    /** What is no file has been put there by somebody else. */
+    private static void setAside(Path path) throws IOException {
+        if (!Files.exists(path, LinkOption.NOFOLLOW_LINKS) || Files.isRegularFile(path)) {
+            return;
+        }
+        int number = 0;
+        Path to;
+        do {
+            to = path
+                .resolveSibling(path.getFileName() + SET_ASIDE_SUFFIX + (number > 0 ? "." + number : ""));
+            number++;
+        } while (Files.exists(to, LinkOption.NOFOLLOW_LINKS));
+        Files.move(path, to);
+        Log.tell(Event.LEDGER_SET_ASIDE, path.toString(), to.toString());
+    }
+
     /** Hands on the records of an earlier process; returns how many bytes at the end are none. */
     long replay(Records.Sink sink) throws IOException {
         if (!Files.exists(path)) {
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/Serve.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,10 @@
 
 /** Starts a relay and ends it when the process is asked to. */
 public final class Serve {
+    /** A platform takes a relay for failed that is not ready within 30 s. */
+    private static final long OPEN_WITHIN = 25_000_000;
+    private static final long OPEN_AGAIN_AFTER = 100_000;
+
     private Serve() {}
 
     /** Returns where it listens once the relay takes envelopes; it goes on until the process ends. */
@@ -27,8 +32,7 @@
         throws IOException, InterruptedException {
         logAsTold(config.operator);
         Clock clock = new Clock();
-        Ledger ledger = new Ledger(config.state, config.limits.ledgerLive(), config.limits.ledgerAnew(),
-            config.limits.ledgerAside(), clock.read());
+        Ledger ledger = open(config, clock);
         XnioWorker worker = Xnio.getInstance("nio", Serve.class.getClassLoader())
             .createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "yewpath").set(Options.WORKER_IO_THREADS, 1)
@@ -64,6 +68,27 @@
         return at[0];
     }
 
+    /** Nothing is lost by waiting: what an earlier process took on cannot be delivered before it has been read. */
+    private static Ledger open(Config config, Clock clock) throws IOException, InterruptedException {
+        long deadline = clock.now() + OPEN_WITHIN;
+        for (boolean isFirst = true;; isFirst = false) {
+            try {
+                return new Ledger(config.state, config.limits.ledgerLive(), config.limits.ledgerAnew(),
+                    config.limits.ledgerAside(), clock.read());
+            } catch (IOException e) {
+                boolean isNoFolder = Files.exists(config.state) && !Files.isDirectory(config.state);
+                if (isNoFolder || clock.now() >= deadline) {
+                    throw new IOException(
+                        "the lasting folder " + config.state + (isNoFolder ? " is no folder" : ": " + e), e);
+                }
+                if (isFirst) {
+                    Log.tell(Event.LEDGER_UNREADABLE, e);
+                }
+                TimeUnit.MICROSECONDS.sleep(OPEN_AGAIN_AFTER);
+            }
+        }
+    }
+
     private static void logAsTold(Operator operator) {
         Log.set(operator.word(Catalogue.LOG_LEVEL), operator.word(Catalogue.LOG_FORM).equals("json"),
             (int) operator.figure(Catalogue.LOG_FLOOD), (int) operator.figure(Catalogue.LOG_QUEUE));
