A folder replaced under a running relay is written anew with all that is live

What callers saw: messages taken on were gone after a kill, when the folder had been replaced while the relay ran: it went on writing into a file that no path led to.

Change: ten times a second the relay compares the file in the folder with the one that it writes to; where they differ it writes all that is live into the new folder. The trial start of the build lets its folder go before it removes it.

--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -147,6 +147,11 @@
         Level.INFO,
         "The lasting folder can be written again, and holds all that is live.",
         "live"),
+    LEDGER_REPLACED(
+        "ledger.replaced",
+        Level.WARN,
+        "Another folder or file lies where the log was: it is written anew.",
+        "live"),
     LEDGER_UNREADABLE(
         "ledger.unreadable",
         Level.ERROR,
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -41,6 +41,7 @@
     private final List<Pending> pending = new ArrayList<>();
     private int pendingBytes;
     private boolean writable = true;
+    private boolean closed;
     private long liveBytes;
     private long lastNumber;
 
@@ -160,7 +161,7 @@
 
     /** Hands all records to the system; where that fails they stay pending, and nothing may leave that rests on them. */
     public boolean flush() {
-        if (!writable || pendingBytes > 0) {
+        if (!closed && (!writable || pendingBytes > 0)) {
             boolean fits = pendingBytes < Records.LONGEST && file.length() + pendingBytes <= anewAt;
             if (writable && file.canAppend() && fits) {
                 appendPending();
@@ -214,6 +215,22 @@
         writable = false;
     }
 
+    /** Writes nothing any more. */
+    public void close() {
+        closed = true;
+        writable = false;
+        file.abandon();
+    }
+
+    /** Notices a folder that was replaced under this process; the next flush writes all into the new one. */
+    public void checkPlace() {
+        if (writable && !file.isInPlace()) {
+            Log.tell(Event.LEDGER_REPLACED, live.size());
+            file.abandon();
+            writable = false;
+        }
+    }
+
     /** What was read so far is from an earlier process: in its time, and what was out may have run, and may yet. */
     private void takeOver(ClockReading next) {
         long offset = clock == null ? 0 : next.offsetFrom(clock);
--- a/relay/src/main/java/yewpath/ledger/LogFile.java
+++ b/relay/src/main/java/yewpath/ledger/LogFile.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import yewpath.events.Event;
 import yewpath.events.Log;
 
@@ -30,6 +31,7 @@
     private final Path path;
     private final Path next;
     private FileChannel channel;
+    private Object key;
     private long length;
 
     /** Prepares the folder; nothing is written yet. */
@@ -95,6 +97,7 @@
         Files.createDirectories(folder);
         FileChannel written = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
             StandardOpenOption.TRUNCATE_EXISTING);
+        Object writtenKey;
         long size;
         try {
             ByteArrayOutputStream slice = new ByteArrayOutputStream(SLICE_BYTES);
@@ -107,6 +110,7 @@
             }
             writeAll(written, slice.toByteArray());
             size = written.position();
+            writtenKey = keyOf(next);
             Files.move(next, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
             closeQuietly(written);
@@ -115,6 +119,7 @@
         }
         abandon();
         channel = written;
+        key = writtenKey;
         length = size;
     }
 
@@ -126,6 +131,19 @@
         }
     }
 
+    /** Whether the folder still holds the file that is written to. */
+    boolean isInPlace() {
+        try {
+            return key == null || key.equals(keyOf(path));
+        } catch (IOException gone) {
+            return false;
+        }
+    }
+
+    private static Object keyOf(Path path) throws IOException {
+        return Files.readAttributes(path, BasicFileAttributes.class).fileKey();
+    }
+
     /** Writes no more to this file. */
     void abandon() {
         if (channel != null) {
--- a/relay/src/main/java/yewpath/relay/Check.java
+++ b/relay/src/main/java/yewpath/relay/Check.java
@@ -33,14 +33,16 @@
             .read(("{\"version\":0,\"full\":true,\"servers\":[{\"id\":\"check\",\"addr\":\"127.0.0.1:1\","
                 + "\"zone\":\"check\",\"kind\":\"check\",\"cell\":0,\"state\":\"draining\",\"weight\":1.0,"
                 + "\"started_ms\":0}]}").getBytes(StandardCharsets.UTF_8));
-        InetSocketAddress at = Serve.start(config, Asked.listen());
-        String ready = ask(at, "GET /health/ready HTTP/1.1\r\n\r\n");
-        String taken = ask(at, "POST /" + config.boot.offerings.name(0) + " HTTP/1.1\r\nRequest-Id: check\r\n"
-            + "Request-Timeout: 50m\r\nX-Addressing: dest=0\r\nContent-Length: 2\r\n\r\nhi");
+        Serve.Running relay = Serve.start(config, Asked.listen());
+        String ready = ask(relay.at(), "GET /health/ready HTTP/1.1\r\n\r\n");
+        String taken = ask(relay.at(),
+            "POST /" + config.boot.offerings.name(0) + " HTTP/1.1\r\nRequest-Id: check\r\n"
+                + "Request-Timeout: 50m\r\nX-Addressing: dest=0\r\nContent-Length: 2\r\n\r\nhi");
         if (!ready.contains(" 200 ") || !taken.contains(" 202 ")) {
             throw new IOException("started, but answered " + ready + " and " + taken);
         }
-        // The open file goes on taking records; nothing of a trial is to stay.
+        // Nothing of a trial is to stay.
+        relay.letFolderGo();
         Files.delete(state.resolve("ledger"));
         Files.delete(state);
         return config.name + ": starts and takes envelopes";
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -50,6 +50,7 @@
 
     private static final long MILLISECOND = 1_000;
     private static final long WRITE_AGAIN_AFTER = 50 * MILLISECOND;
+    private static final long FOLDER_CHECK_EVERY = 100 * MILLISECOND;
 
     private final Loop loop;
     private final Ledger ledger;
@@ -109,6 +110,7 @@
         ledger.live().forEach(this::restore);
         listBy = settings.listAsked ? 0 : loop.now() + limits.connectWithin();
         loop.after(limits.connectWithin(), loop::ask);
+        loop.after(FOLDER_CHECK_EVERY, this::checkFolder);
         loop.ask();
     }
 
@@ -210,6 +212,14 @@
         taken.clear();
     }
 
+    private void checkFolder() {
+        ledger.checkPlace();
+        if (!ledger.isWritable()) {
+            loop.ask();
+        }
+        loop.after(FOLDER_CHECK_EVERY, this::checkFolder);
+    }
+
     // ---- Intake
 
     @Override
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/Serve.java
@@ -27,8 +27,21 @@
 
     private Serve() {}
 
-    /** Returns where it listens once the relay takes envelopes; it goes on until the process ends. */
-    public static InetSocketAddress start(Config config, Asked asked)
+    /** A relay that takes envelopes, and where it listens. */
+    public record Running(InetSocketAddress at, Loop loop, Ledger ledger) {
+        /** Leaves the lasting folder alone from now on, so that it can be removed. */
+        public void letFolderGo() throws InterruptedException {
+            CountDownLatch closed = new CountDownLatch(1);
+            loop.thread().execute(() -> {
+                ledger.close();
+                closed.countDown();
+            });
+            closed.await();
+        }
+    }
+
+    /** Returns once the relay takes envelopes; it goes on until the process ends. */
+    public static Running start(Config config, Asked asked)
         throws IOException, InterruptedException {
         logAsTold(config.operator);
         Clock clock = new Clock();
@@ -65,7 +78,7 @@
         Log.tell(Event.RELAY_STARTED, config.name, at[0], ledger.size(), config.operatorFile);
         Config[] inForce = {config};
         asked.toReload(() -> reload(loop, relay[0], config, inForce));
-        return at[0];
+        return new Running(at[0], loop, ledger);
     }
 
     /** Nothing is lost by waiting: what an earlier process took on cannot be delivered before it has been read. */
