A copied bulk answer that calls a message busy is not the answer to its next attempt

What callers saw: nothing yet; found by going through what a copy can name. A call of a and b is answered "a done, b busy" and the connection is kept; b goes again on it with c; a copy of the first answer says that b never ran, and b goes a third time while the second attempt is at work.

Cause: Call.recogniseSeveral took an answer that names a message of the call for its own.

Change: a body that came before on the connection is passed over whatever it names, and after a bulk answer with a message that is not over the connection is closed. A 200 ahead of the request's last byte is no answer to it, for one message and for several.

Tests: ConnectionsTest.aCopyThatCallsAMessageBusy failed before (full, full in place of full, fulfilled) and passes now; the seeded copies of StrayAnswerTest mix states in a bulk answer, -Dstray.seeds=N plays more of them.

--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -225,6 +225,9 @@
         if (answer.status() != HTTP_OK) {
             return Recognition.OWN_AND_LAST;
         }
+        if (!caller.isSent()) {
+            return Recognition.UNCERTAIN;
+        }
         byte[] body = answer.body();
         Recognition recognition = cargo.length == 1 ? recogniseOne(body) : recogniseSeveral(body);
         boolean mayComeAgain = caller.history().add(body);
@@ -232,9 +235,6 @@
     }
 
     private Recognition recogniseOne(byte[] body) {
-        if (!caller.isSent()) {
-            return Recognition.UNCERTAIN;
-        }
         if (body.length == 0) {
             return caller.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
         }
@@ -242,15 +242,20 @@
     }
 
     private Recognition recogniseSeveral(byte[] body) {
+        if (caller.history().contains(body)) {
+            return Recognition.FOREIGN;
+        }
         states = Answers.states(body);
-        long named = Arrays.stream(cargo).filter(one -> states.containsKey(one.id())).count();
-        if (named > 0) {
-            return named == cargo.length ? Recognition.OWN : Recognition.OWN_AND_LAST;
+        if (Arrays.stream(cargo).anyMatch(one -> states.containsKey(one.id()))) {
+            // A message that is not over may go again, and a copy of this answer would name it.
+            boolean allAreOver = Arrays.stream(cargo)
+                .allMatch(one -> Answers.isOver(states.getOrDefault(one.id(), "")));
+            return allAreOver ? Recognition.OWN : Recognition.OWN_AND_LAST;
         }
-        if (!states.isEmpty() || caller.history().contains(body)) {
-            return Recognition.FOREIGN;
+        if (caller.isFirst()) {
+            return Recognition.OWN_AND_LAST;
         }
-        return caller.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
+        return states.isEmpty() ? Recognition.UNCERTAIN : Recognition.FOREIGN;
     }
 
     @Override
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -10,6 +10,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -169,6 +170,54 @@
         }
     }
 
+    /** The copy names a message that is out again. */
+    @Test
+    public void aCopyThatCallsAMessageBusyIsNotTheAnswerToItsNextAttempt() throws Exception {
+        String first = bulkAnswer("[{\"id\":\"a\",\"state\":\"done\"},{\"id\":\"b\",\"state\":\"busy\"}]");
+        String second = bulkAnswer("[{\"id\":\"b\",\"state\":\"done\"},{\"id\":\"c\",\"state\":\"done\"}]");
+        try (Stand.Server endpoint = new Stand.Server(got -> first)) {
+            endpoint.answer = got -> got.body.contains("\"a\"") ? first
+                : got.connection == 1 ? first + second : second;
+            Cargo a = new Cargo("a", 20_000_000, 20_000_000);
+            Cargo b = new Cargo("b", 20_000_000, 20_000_000);
+            Cargo c = new Cargo("c", 20_000_000, 20_000_000);
+            sendTogether(at(endpoint.address()), a, b);
+            until("one is refused", 2_000, () -> b.outcomes.equals(List.of(Egress.FULL)));
+            sendTogether(at(endpoint.address()), b, c);
+            until("both are delivered", 2_000, () -> c.outcomes.size() == 1);
+            assertEquals(b.outcomes, List.of(Egress.FULL, Egress.FULFILLED));
+            assertEquals(c.outcomes, List.of(Egress.FULFILLED));
+        }
+    }
+
+    /** An answer ahead of the request's last byte is of another request. */
+    @Test
+    public void aSuccessAheadOfTheWholeRequestIsNoDelivery() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            listener.setReceiveBufferSize(4_096);
+            Cargo cargo = new Cargo("large", 20_000_000, 20_000_000);
+            cargo.body = new byte[16 << 20];
+            send(cargo, at("127.0.0.1:" + listener.getLocalPort()));
+            try (Socket peer = listener.accept()) {
+                assertTrue(peer.getInputStream().read() >= 0);
+                peer.getOutputStream().write(OK.getBytes(StandardCharsets.ISO_8859_1));
+                until("it has its end", 3_000, () -> cargo.outcomes.size() == 1);
+                assertEquals(cargo.outcomes, List.of(Egress.UNREACHED));
+            }
+        }
+    }
+
+    private static String bulkAnswer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private void sendTogether(InetSocketAddress to, Cargo... cargo) {
+        loop.thread().execute(() -> {
+            delivery.place(0, to);
+            delivery.call(0, List.of(cargo), cargo[0].expiry);
+        });
+    }
+
     private final class Refusing implements Desk {
         @Override
         public boolean isClosing() {
--- a/relay/src/test/java/yewpath/StrayAnswerTest.java
+++ b/relay/src/test/java/yewpath/StrayAnswerTest.java
@@ -11,6 +11,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -21,6 +22,8 @@
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -151,7 +154,8 @@
                 return Stand.CUT;
             }
             delivered.addAll(ids);
-            return answer(got, ids.size() == 1 && !got.line.contains("bulk") ? OK : done(ids));
+            return answer(got, ids.size() == 1 && !got.line.contains("bulk") ? OK
+                : bulkAnswer(ids.stream().collect(Collectors.toMap(id -> id, id -> "done"))));
         });
         stand.start();
         for (int i = 0; i < 2 * MESSAGES; i++) {
@@ -195,9 +199,10 @@
         return ids;
     }
 
-    private static String done(List<String> ids) {
-        String body = "[" + String.join(",",
-            ids.stream().map(id -> "{\"id\":\"" + id + "\",\"state\":\"done\"}").toList()) + "]";
+    private static String bulkAnswer(Map<String, String> states) {
+        String body = "[" + states.entrySet().stream()
+            .map(one -> "{\"id\":\"" + one.getKey() + "\",\"state\":\"" + one.getValue() + "\"}")
+            .collect(Collectors.joining(",")) + "]";
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
@@ -228,9 +233,12 @@
         }
     }
 
+    /** As many as {@code -Dstray.seeds} asks for; every second one with calls of several messages. */
     @DataProvider
     public Object[][] seeds() {
-        return new Object[][]{{1L, "plain"}, {2L, "bundled"}, {3L, "plain"}};
+        return LongStream.rangeClosed(1, Long.getLong("stray.seeds", 5))
+            .mapToObj(seed -> new Object[]{seed, seed % 2 == 0 ? "bundled" : "plain"})
+            .toArray(Object[][]::new);
     }
 
     /** Copies of any earlier answer on the connection, ahead of the true one, in the middle of the work or behind it. */
@@ -277,8 +285,12 @@
         @Override
         public String apply(Stand.Got got) {
             List<String> ids = ids(got);
-            boolean refuses = draw(4) == 0;
+            boolean isBulk = got.line.contains("bulk");
+            boolean refusesAll = draw(4) == 0;
+            Map<String, String> states = new LinkedHashMap<>();
             for (String id : ids) {
+                boolean refuses = refusesAll || isBulk && draw(4) == 0;
+                states.put(id, refuses ? "busy" : "done");
                 begin(id, refuses);
             }
             copy(got);
@@ -288,12 +300,14 @@
             if (!open) {
                 return Stand.CUT;
             }
-            String answer = refuses ? REFUSALS.get(draw(2))
-                : got.line.contains("bulk") ? done(ids) : draw(2) == 0 ? OK : Stand.distinctOk();
+            String answer = refusesAll ? REFUSALS.get(draw(2))
+                : isBulk ? bulkAnswer(states) : draw(2) == 0 ? OK : Stand.distinctOk();
             answers.computeIfAbsent(got.connection, any -> new CopyOnWriteArrayList<>()).add(answer);
-            if (!refuses) {
-                delivered.addAll(ids);
-            }
+            states.forEach((id, state) -> {
+                if (state.equals("done")) {
+                    delivered.add(id);
+                }
+            });
             return draw(6) == 0 ? answer + answer : answer;
         }
 
