notices_owed counts the notices that are under way

What operators saw: /stats said 0 while the last notices had been sent and not heard yet. Cause: Notices.owed left out the request that is out.

--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -27,6 +27,7 @@
     private final ArrayDeque<Entry> owed = new ArrayDeque<>();
     private Caller caller;
     private boolean busy;
+    private int underWay;
     private Loop.Timer pause;
     private long backoff;
     private int atOnce;
@@ -61,8 +62,9 @@
         }
     }
 
+    /** How many the platform has not heard yet, those under way included. */
     public int owed() {
-        return owed.size();
+        return owed.size() + underWay;
     }
 
     /** Whether the platform is being told, and has not failed to hear the last time. */
@@ -80,6 +82,7 @@
             Entry entry = owed.poll();
             batch.add(entry);
         }
+        underWay = batch.size();
         if (caller == null || caller.isClosed()) {
             caller = new Caller(loop, limits, platform, limits.bodyMost());
         }
@@ -133,6 +136,7 @@
             Log.tell(Event.NOTICE_REFUSED, batch.get(0).id);
         }
         atOnce = limits.noticesAtOnce();
+        underWay = 0;
         busy = false;
         backoff = 0;
         batch.forEach(told);
@@ -140,6 +144,7 @@
     }
 
     private void again(List<Entry> batch) {
+        underWay = 0;
         for (int i = batch.size() - 1; i >= 0; i--) {
             owed.addFirst(batch.get(i));
         }
