Each close of a client's connection is an event with its reason

An envelope that was refused since the folder failed is no longer logged as withdrawn by its client; pauses between writes that fail grow with the time that one takes.

--- a/relay/src/main/java/yewpath/http/CloseReason.java
+++ b/relay/src/main/java/yewpath/http/CloseReason.java
@@ -1,6 +1,6 @@
 package yewpath.http;
 
-/** Why this side closed a connection to another server, or found it closed. */
+/** Why this side closed a connection, or found it closed. */
 public enum CloseReason {
     CONNECT_FAILED("connect failed"),
     CONNECT_TIMED_OUT("connect timed out"),
@@ -27,7 +27,10 @@
     REPLACED("replaced by a new one"),
     SILENT(
         "silent"),
-    UNREADABLE_LIST("unreadable list");
+    UNREADABLE_LIST("unreadable list"),
+    REFUSED("refused, and told so"),
+    ANSWER_NOT_READ("answer not read in time"),
+    SHUTDOWN("shutdown");
 
     private final String text;
 
--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/Door.java
@@ -14,6 +14,7 @@
 import org.xnio.management.XnioServerMXBean;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.http.CloseReason;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -74,7 +75,7 @@
         for (Visit goes = leastMissed(now); goes != null; goes = leastMissed(now)) {
             if (goes.restsStill(now)) {
                 Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, visits.size());
-                goes.close();
+                goes.close(CloseReason.MAKE_ROOM);
                 return;
             }
         }
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/Visit.java
@@ -5,6 +5,7 @@
 import org.xnio.StreamConnection;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.http.CloseReason;
 import yewpath.http.HttpFault;
 import yewpath.http.Link;
 import yewpath.http.Parser;
@@ -75,10 +76,13 @@
 
     void checkTime(long now) {
         long waited = now - since;
-        if (leaving && waited > limits.lingerFor() || !link.allWritten() && waited > limits.requestWithin()
-            || !leaving && isBetween() && waited > (asked ? limits.clientIdle() : limits.silentFor())
-                && restsStill(now)) {
-            close();
+        if (leaving && waited > limits.lingerFor()) {
+            close(CloseReason.REFUSED);
+        } else if (!link.allWritten() && waited > limits.requestWithin()) {
+            close(CloseReason.ANSWER_NOT_READ);
+        } else if (!leaving && isBetween() && waited > (asked ? limits.clientIdle() : limits.silentFor())
+            && restsStill(now)) {
+            close(CloseReason.IDLE);
         } else if (!leaving && !answering && !isBetween()
             && now - (asked ? since : connectedAt) > limits.requestWithin()) {
             refuse(408);
@@ -95,7 +99,7 @@
         }
         link.look();
         if (!leaving && !link.isClosed() && isBetween()) {
-            close();
+            close(CloseReason.SHUTDOWN);
         }
     }
 
@@ -109,7 +113,7 @@
             return;
         }
         if (isBetween()) {
-            close();
+            close(CloseReason.SHUTDOWN);
         } else {
             refuse(503);
         }
@@ -122,7 +126,7 @@
             link.in.skip(link.in.size());
             if (skipped > limits.lingerMost()) {
                 // It had time to see its answer; reading all that some would send keeps the others waiting.
-                close();
+                close(CloseReason.REFUSED);
             }
             return;
         }
@@ -156,10 +160,13 @@
             return;
         }
         // A client ends its connection when it waits no longer: a request whose answer is due is then void.
-        close();
+        close(broken ? CloseReason.RESET : CloseReason.ENDED);
     }
 
-    void close() {
+    void close(CloseReason reason) {
+        if (Log.tells(Event.CLIENT_CLOSED)) {
+            Log.tell(Event.CLIENT_CLOSED, reason, answering);
+        }
         link.close();
         left.accept(this);
     }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -50,6 +50,8 @@
 
     private static final long MILLISECOND = 1_000;
     private static final long WRITE_AGAIN_AFTER = 50 * MILLISECOND;
+    /** Writing a large log in vain leaves most of the time for other work. */
+    private static final long PAUSE_PER_ATTEMPT = 10;
     private static final long FOLDER_CHECK_EVERY = 100 * MILLISECOND;
 
     private final Loop loop;
@@ -185,6 +187,7 @@
         if (failedBefore && loop.now() < writeAgainAt) {
             return false;
         }
+        long begun = loop.now();
         if (ledger.flush()) {
             if (failedBefore) {
                 unwrittenEnds.forEach(notices::add);
@@ -193,8 +196,9 @@
             }
             return true;
         }
-        writeAgainAt = loop.now() + WRITE_AGAIN_AFTER;
-        loop.after(WRITE_AGAIN_AFTER, loop::ask);
+        long pause = Math.max(WRITE_AGAIN_AFTER, PAUSE_PER_ATTEMPT * (loop.now() - begun));
+        writeAgainAt = loop.now() + pause;
+        loop.after(pause, loop::ask);
         return false;
     }
 
@@ -206,7 +210,7 @@
                 refuse(one.entry.id, "disk", one.reply);
                 one.reply = null;
                 one.left = true;
-                loop.gather(() -> withdraw(one));
+                loop.gather(() -> letGo(one));
             }
         }
         taken.clear();
@@ -325,6 +329,12 @@
     private void withdraw(Held one) {
         if (!one.over) {
             Log.tell(Event.ENVELOPE_WITHDRAWN, one.entry.id);
+        }
+        letGo(one);
+    }
+
+    private void letGo(Held one) {
+        if (!one.over) {
             logic.withdrawn(one.index);
             ledger.over(one.entry);
             envelopes.end(one, loop.now());
