--- a/relay/src/test/java/yewpath/Stand.java
+++ b/relay/src/test/java/yewpath/Stand.java
@@ -414,16 +414,18 @@
 
     void start() throws Exception {
         launch();
-        until("the relay is ready", 10_000, () -> {
-            try {
-                return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
-            } catch (IOException e) {
-                return false;
-            }
-        });
+        until("the relay is ready", 10_000, this::isReady);
         until("it follows the list", 5_000, () -> newsAfter < 0 || !watches.isEmpty());
     }
 
+    boolean isReady() {
+        try {
+            return ask("GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n").status == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Starts the process and leaves it to itself. */
     void launch() throws Exception {
         watches.clear();
--- a/relay/src/test/java/yewpath/StateFolderTest.java
+++ b/relay/src/test/java/yewpath/StateFolderTest.java
@@ -135,18 +135,10 @@
         Stand.pause(2_500);
         assertTrue(stand.process.isAlive(), "it ended with " + (stand.process.isAlive() ? "" : exitCode()));
         shim.heal();
-        until("it is ready", 3_000, this::isReady);
+        until("it is ready", 3_000, stand::isReady);
         until("what was held is delivered", 3_000, () -> endpoint.got.size() == 1);
     }
 
-    private boolean isReady() {
-        try {
-            return stand.ask("GET /health/ready HTTP/1.1\r\n\r\n").status() == 200;
-        } catch (IOException notYet) {
-            return false;
-        }
-    }
-
     private int exitCode() {
         return stand.process.exitValue();
     }
--- a/relay/src/test/java/yewpath/StrayAnswerTest.java
+++ b/relay/src/test/java/yewpath/StrayAnswerTest.java
@@ -2,26 +2,20 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static yewpath.CopyingEndpoint.BUSY;
+import static yewpath.CopyingEndpoint.bulkAnswer;
+import static yewpath.CopyingEndpoint.ids;
+import static yewpath.CopyingEndpoint.staysOpen;
+import static yewpath.CopyingEndpoint.write;
 import static yewpath.Stand.OK;
 import static yewpath.Stand.until;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Function;
 import java.util.function.Supplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.testng.annotations.BeforeMethod;
@@ -30,9 +24,7 @@
 
 /** A second copy of an earlier answer comes while the next request on that connection is out. */
 public final class StrayAnswerTest extends Stand.Tests {
-    private static final String BUSY = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
     private static final String WAIT = "HTTP/1.1 429 X\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
-    private static final Pattern ITEM = Pattern.compile("\"id\":\"([^\"]+)\"");
     private static final int MESSAGES = 30;
 
     private final Map<Integer, String> lastAnswers = new ConcurrentHashMap<>();
@@ -51,15 +43,6 @@
         }
     }
 
-    private static void write(Stand.Server server, Stand.Got got, String bytes) {
-        try {
-            server.sockets.get(got.connection - 1).getOutputStream()
-                .write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-        } catch (IOException closed) {
-            throw new UncheckedIOException(closed);
-        }
-    }
-
     private String answer(Stand.Got got, String bytes) {
         lastAnswers.put(got.connection, bytes);
         return bytes;
@@ -166,46 +149,6 @@
         assertEquals(twice, List.of(), "out twice at once");
     }
 
-    /** Whether the relay leaves the connection open for this long. */
-    private static boolean staysOpen(Stand.Server server, Stand.Got got, int millis) {
-        Socket socket = server.sockets.get(got.connection - 1);
-        try {
-            socket.setSoTimeout(millis);
-            return socket.getInputStream().read() >= 0;
-        } catch (SocketTimeoutException open) {
-            return restore(socket);
-        } catch (IOException reset) {
-            return false;
-        }
-    }
-
-    private static boolean restore(Socket socket) {
-        try {
-            socket.setSoTimeout(0);
-            return true;
-        } catch (IOException closed) {
-            return false;
-        }
-    }
-
-    private static List<String> ids(Stand.Got got) {
-        if (got.id() != null) {
-            return List.of(got.id());
-        }
-        List<String> ids = new ArrayList<>();
-        for (Matcher item = ITEM.matcher(got.body); item.find();) {
-            ids.add(item.group(1));
-        }
-        return ids;
-    }
-
-    private static String bulkAnswer(Map<String, String> states) {
-        String body = "[" + states.entrySet().stream()
-            .map(one -> "{\"id\":\"" + one.getKey() + "\",\"state\":\"" + one.getValue() + "\"}")
-            .collect(Collectors.joining(",")) + "]";
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
     @Test
     public void aCopyOfAnAcknowledgementDoesNotSwallowANotice() throws Exception {
         String heard = "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n";
@@ -233,10 +176,11 @@
         }
     }
 
-    /** As many as {@code -Dstray.seeds} asks for; every second one with calls of several messages. */
+    /** As many as {@code -Dstray.seeds} asks for, from {@code -Dstray.first} on; every second one with calls of several messages. */
     @DataProvider
     public Object[][] seeds() {
-        return LongStream.rangeClosed(1, Long.getLong("stray.seeds", 5))
+        return LongStream.range(0, Long.getLong("stray.seeds", 5))
+            .map(seed -> seed + Long.getLong("stray.first", 1))
             .mapToObj(seed -> new Object[]{seed, seed % 2 == 0 ? "bundled" : "plain"})
             .toArray(Object[][]::new);
     }
@@ -245,8 +189,8 @@
     @Test(dataProvider = "seeds")
     public void copiesAtAnyTimeBreakNoRule(long seed, String kind) throws Exception {
         stand.holdMost = 200;
-        CopyingEndpoint copying = new CopyingEndpoint(seed);
-        copying.server = stand.endpoint("e1", 1, kind, copying);
+        MessageRules rules = new MessageRules();
+        CopyingEndpoint.listed(stand, "e1", 1, kind, seed, rules);
         stand.start();
         for (int i = 0; i < 2 * MESSAGES; i++) {
             assertEquals(stand.handIn("m" + i, i % 2 == 0 ? "order" : "status", 1, 3_000), 202);
@@ -254,85 +198,10 @@
         }
         until("nothing is held any more", 8_000,
             () -> stand.figure("open") == 0 && stand.figure("notices_owed") == 0);
-        assertEquals(copying.faults, List.of());
+        assertEquals(rules.broken, List.of());
         for (int i = 0; i < 2 * MESSAGES; i++) {
             String id = "m" + i;
-            assertTrue(copying.delivered.contains(id) || stand.ended(id, "outcome"), id + " is lost");
-        }
-    }
-
-    /** Works for a while, answers as the seed has it, and sends copies of its earlier answers. */
-    private static final class CopyingEndpoint implements Function<Stand.Got, String> {
-        private static final List<String> REFUSALS = List.of(BUSY,
-            "HTTP/1.1 429 X\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n");
-
-        final List<String> faults = new CopyOnWriteArrayList<>();
-        final Set<String> delivered = ConcurrentHashMap.newKeySet();
-        private final Set<String> ran = ConcurrentHashMap.newKeySet();
-        private final Map<String, Integer> out = new ConcurrentHashMap<>();
-        private final Map<Integer, List<String>> answers = new ConcurrentHashMap<>();
-        private final Random random;
-        private Stand.Server server;
-
-        CopyingEndpoint(long seed) {
-            random = new Random(seed);
-        }
-
-        private synchronized int draw(int bound) {
-            return random.nextInt(bound);
-        }
-
-        @Override
-        public String apply(Stand.Got got) {
-            List<String> ids = ids(got);
-            boolean isBulk = got.line.contains("bulk");
-            boolean refusesAll = draw(4) == 0;
-            Map<String, String> states = new LinkedHashMap<>();
-            for (String id : ids) {
-                boolean refuses = refusesAll || isBulk && draw(4) == 0;
-                states.put(id, refuses ? "busy" : "done");
-                begin(id, refuses);
-            }
-            copy(got);
-            boolean open = staysOpen(server, got, 1 + draw(60));
-            copy(got);
-            ids.forEach(id -> out.merge(id, -1, Integer::sum));
-            if (!open) {
-                return Stand.CUT;
-            }
-            String answer = refusesAll ? REFUSALS.get(draw(2))
-                : isBulk ? bulkAnswer(states) : draw(2) == 0 ? OK : Stand.distinctOk();
-            answers.computeIfAbsent(got.connection, any -> new CopyOnWriteArrayList<>()).add(answer);
-            states.forEach((id, state) -> {
-                if (state.equals("done")) {
-                    delivered.add(id);
-                }
-            });
-            return draw(6) == 0 ? answer + answer : answer;
-        }
-
-        private void begin(String id, boolean refuses) {
-            if (out.merge(id, 1, Integer::sum) > 1) {
-                faults.add(id + " was out twice");
-            }
-            boolean onceOnly = Integer.parseInt(id.substring(1)) % 2 == 0;
-            if (!refuses && !ran.add(id) && onceOnly) {
-                faults.add(id + " ran twice");
-            }
-            if (refuses && onceOnly && ran.contains(id)) {
-                faults.add(id + " was sent again after it ran");
-            }
-        }
-
-        private void copy(Stand.Got got) {
-            List<String> earlier = answers.getOrDefault(got.connection, List.of());
-            if (!earlier.isEmpty() && draw(2) == 0) {
-                try {
-                    write(server, got, earlier.get(draw(earlier.size())));
-                } catch (UncheckedIOException closed) {
-                    return;
-                }
-            }
+            assertTrue(rules.delivered.contains(id) || stand.ended(id, "outcome"), id + " is lost");
         }
     }
 }
