--- a/relay/src/main/java/yewpath/command/Main.java
+++ b/relay/src/main/java/yewpath/command/Main.java
@@ -12,10 +12,10 @@
 import yewpath.operator.Operator;
 import yewpath.operator.OperatorFile;
 import yewpath.operator.Reference;
-import yewpath.relay.Asked;
-import yewpath.relay.Check;
+import yewpath.relay.ProcessSignals;
+import yewpath.relay.TrialStart;
 import yewpath.relay.Config;
-import yewpath.relay.Serve;
+import yewpath.relay.RelayServer;
 import yewpath.wirehost.WireHost;
 
 /**
@@ -79,7 +79,7 @@
     public static void main(String[] args) throws Exception {
         boolean serves = args.length > 0 && args[0].equals("serve");
         // Ahead of all that takes time.
-        Asked signals = serves ? Asked.listen() : null;
+        ProcessSignals signals = serves ? ProcessSignals.listen() : null;
         Main main = new Main();
         ServeWord serve = new ServeWord();
         CheckWord check = new CheckWord();
@@ -154,9 +154,9 @@
         return null;
     }
 
-    private static void serve(Told told, Asked signals) throws InterruptedException {
+    private static void serve(Told told, ProcessSignals signals) throws InterruptedException {
         try {
-            Serve.start(Config.read(told.config, told.operator, System.getenv()), signals);
+            RelayServer.start(Config.read(told.config, told.operator, System.getenv()), signals);
         } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
         } catch (RuntimeException | Error e) {
@@ -166,7 +166,7 @@
 
     private static void check(Told told) throws Exception {
         try {
-            System.out.println(Check.run(told.config, told.operator, System.getenv()));
+            System.out.println(TrialStart.run(told.config, told.operator, System.getenv()));
             System.exit(0);
         } catch (IOException | Config.Fault e) {
             fail(e.getMessage());
--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import yewpath.Egress;
-import yewpath.http.Caller;
+import yewpath.http.ServerConnection;
 import yewpath.http.CloseReason;
 import yewpath.http.Parser;
 import yewpath.http.Recognition;
@@ -12,9 +12,9 @@
 import yewpath.loop.Loop;
 
 /** One call that is out, with one envelope or several; each hears of its own end once. */
-public final class Call implements Caller.Answer {
+public final class Call implements ServerConnection.Answer {
     /** An envelope in a call: what is sent of it, and what its end leaves to be done. */
-    public interface Cargo {
+    public interface Attempt {
         String id();
 
         String key();
@@ -44,8 +44,8 @@
     private final Limits limits;
     private final Delivery delivery;
     final int endpoint;
-    final Caller caller;
-    private final Cargo[] cargo;
+    final ServerConnection connection;
+    private final Attempt[] attempts;
     private final Loop.Timer[] timers;
     private final Loop.Timer[] leaveTimers;
     private final List<String> reportFields;
@@ -58,7 +58,8 @@
     /** What the answer to a call of several says of each message, by id. */
     private Map<String, String> states = Map.of();
 
-    Call(Loop loop, Limits limits, Delivery delivery, int endpoint, Caller caller, List<Cargo> cargo,
+    Call(Loop loop, Limits limits, Delivery delivery, int endpoint, ServerConnection connection,
+        List<Attempt> attempts,
         long endsAt,
         List<String> reportFields) {
         this.loop = loop;
@@ -66,13 +67,13 @@
         this.delivery = delivery;
         this.endpoint = endpoint;
         this.reportFields = reportFields;
-        this.caller = caller;
-        this.cargo = cargo.toArray(Cargo[]::new);
-        timers = new Loop.Timer[this.cargo.length];
-        leaveTimers = new Loop.Timer[this.cargo.length];
-        open = this.cargo.length;
+        this.connection = connection;
+        this.attempts = attempts.toArray(Attempt[]::new);
+        timers = new Loop.Timer[this.attempts.length];
+        leaveTimers = new Loop.Timer[this.attempts.length];
+        open = this.attempts.length;
         for (int i = 0; i < timers.length; i++) {
-            Cargo one = this.cargo[i];
+            Attempt one = this.attempts[i];
             // An envelope sent alone may come again only once this call is over: several end together, but
             // none after its expiry.
             timers[i] = loop.after(Math.min(endsAt, one.expiry()) - loop.now(),
@@ -81,7 +82,7 @@
         }
     }
 
-    public void cancel(Cargo one) {
+    public void cancel(Attempt one) {
         giveUp(one, Egress.CANCELLED);
     }
 
@@ -91,16 +92,16 @@
 
     void begin(byte[] request) {
         begun = true;
-        caller.ask(request, this);
+        connection.ask(request, this);
     }
 
-    List<Cargo> cargo() {
-        return List.of(cargo);
+    List<Attempt> attempts() {
+        return List.of(attempts);
     }
 
     /** Ends a call of which the endpoint can't have the whole. */
     void takeBack() {
-        caller.drop();
+        connection.drop();
         endAll(Egress.MOOT, 0, false);
     }
 
@@ -109,8 +110,8 @@
      * twice. Several go as one, so what is too late for one of them is not sent.
      */
     private boolean takeBackIfLate() {
-        for (int i = 0; i < cargo.length; i++) {
-            if (timers[i] != null && loop.now() >= cargo[i].leaveBy() && !caller.isSent()) {
+        for (int i = 0; i < attempts.length; i++) {
+            if (timers[i] != null && loop.now() >= attempts[i].leaveBy() && !connection.isSent()) {
                 takeBack();
                 return true;
             }
@@ -120,22 +121,22 @@
 
     /** What went wrong while it was put together or sent: it ends like any other, and its envelopes are not kept for good. */
     void fault() {
-        boolean left = caller.hasLeft();
-        caller.drop();
+        boolean left = connection.hasLeft();
+        connection.drop();
         endAll(left ? Egress.BROKEN : Egress.MOOT, 0, false);
     }
 
-    private void giveUp(Cargo one, int outcome) {
+    private void giveUp(Attempt one, int outcome) {
         // The answer may lie in the socket, written in time and not read yet.
-        caller.look();
+        connection.look();
         if (isOver(one)) {
             return;
         }
         if (saidDelivered()) {
-            caller.close(CloseReason.INCOMPLETE_ANSWER);
+            connection.close(CloseReason.INCOMPLETE_ANSWER);
             return;
         }
-        if (!begun || !caller.isSent() && (outcome == Egress.CANCELLED || loop.now() >= one.expiry())) {
+        if (!begun || !connection.isSent() && (outcome == Egress.CANCELLED || loop.now() >= one.expiry())) {
             // Nothing of it has arrived whole: a once-only envelope is not in doubt for a connection slow to open.
             takeBack();
             return;
@@ -143,23 +144,23 @@
         boolean last = open == 1;
         if (last) {
             // Closed before anybody hears: what follows may be the same envelope on another connection.
-            caller.drop();
+            connection.drop();
         }
         end(one, outcome, 0, false);
     }
 
-    private boolean isOver(Cargo one) {
-        for (int i = 0; i < cargo.length; i++) {
-            if (cargo[i] == one) {
+    private boolean isOver(Attempt one) {
+        for (int i = 0; i < attempts.length; i++) {
+            if (attempts[i] == one) {
                 return timers[i] == null;
             }
         }
         return true;
     }
 
-    private void end(Cargo one, int outcome, long wait, boolean over) {
-        for (int i = 0; i < cargo.length; i++) {
-            if (cargo[i] == one && timers[i] != null) {
+    private void end(Attempt one, int outcome, long wait, boolean over) {
+        for (int i = 0; i < attempts.length; i++) {
+            if (attempts[i] == one && timers[i] != null) {
                 timers[i].callOff();
                 leaveTimers[i].callOff();
                 timers[i] = null;
@@ -170,7 +171,7 @@
                         restWithin.callOff();
                     }
                     delivery.over(this);
-                    for (Cargo each : cargo) {
+                    for (Attempt each : attempts) {
                         each.callOver();
                     }
                 }
@@ -179,7 +180,7 @@
     }
 
     private void endAll(int outcome, long wait, boolean over) {
-        for (Cargo one : cargo) {
+        for (Attempt one : attempts) {
             end(one, outcome, wait, over);
         }
     }
@@ -189,7 +190,7 @@
         if (takeBackIfLate()) {
             return false;
         }
-        for (Cargo one : cargo) {
+        for (Attempt one : attempts) {
             one.leaving();
         }
         if (!delivery.attemptsAreWritten()) {
@@ -207,7 +208,7 @@
     public void part(Parser answer) {
         if (!answer.untouched()) {
             restWithin = restWithin == null
-                ? loop.after(limits.answerRest(), () -> caller.close(CloseReason.INCOMPLETE_ANSWER))
+                ? loop.after(limits.answerRest(), () -> connection.close(CloseReason.INCOMPLETE_ANSWER))
                 : restWithin;
         } else if (restWithin != null) {
             // What began was a 1xx answer: the one that counts may be long in coming.
@@ -225,34 +226,34 @@
         if (answer.status() != HTTP_OK) {
             return Recognition.OWN_AND_LAST;
         }
-        if (!caller.isSent()) {
+        if (!connection.isSent()) {
             return Recognition.UNCERTAIN;
         }
         byte[] body = answer.body();
-        Recognition recognition = cargo.length == 1 ? recogniseOne(body) : recogniseSeveral(body);
-        boolean mayComeAgain = caller.history().add(body);
+        Recognition recognition = attempts.length == 1 ? recogniseOne(body) : recogniseSeveral(body);
+        boolean mayComeAgain = connection.history().add(body);
         return recognition == Recognition.OWN && !mayComeAgain ? Recognition.OWN_AND_LAST : recognition;
     }
 
     private Recognition recogniseOne(byte[] body) {
         if (body.length == 0) {
-            return caller.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
+            return connection.isFirst() ? Recognition.OWN_AND_LAST : Recognition.UNCERTAIN;
         }
-        return caller.history().contains(body) ? Recognition.UNCERTAIN : Recognition.OWN;
+        return connection.history().contains(body) ? Recognition.UNCERTAIN : Recognition.OWN;
     }
 
     private Recognition recogniseSeveral(byte[] body) {
-        if (caller.history().contains(body)) {
+        if (connection.history().contains(body)) {
             return Recognition.FOREIGN;
         }
         states = Answers.states(body);
-        if (Arrays.stream(cargo).anyMatch(one -> states.containsKey(one.id()))) {
+        if (Arrays.stream(attempts).anyMatch(one -> states.containsKey(one.id()))) {
             // A message that is not over may go again, and a copy of this answer would name it.
-            boolean allAreOver = Arrays.stream(cargo)
+            boolean allAreOver = Arrays.stream(attempts)
                 .allMatch(one -> Answers.isOver(states.getOrDefault(one.id(), "")));
             return allAreOver ? Recognition.OWN : Recognition.OWN_AND_LAST;
         }
-        if (caller.isFirst()) {
+        if (connection.isFirst()) {
             return Recognition.OWN_AND_LAST;
         }
         return states.isEmpty() ? Recognition.UNCERTAIN : Recognition.FOREIGN;
@@ -263,11 +264,11 @@
         left = Answers.report(answer, reportFields, "x0");
         limit = Answers.report(answer, reportFields, "x1");
         long wait = Answers.wait(answer);
-        if (cargo.length == 1 || answer.status() != HTTP_OK) {
-            endAll(Answers.outcome(answer, caller.isFirst()), wait, Answers.isOver(answer.status()));
+        if (attempts.length == 1 || answer.status() != HTTP_OK) {
+            endAll(Answers.outcome(answer, connection.isFirst()), wait, Answers.isOver(answer.status()));
             return;
         }
-        for (Cargo one : cargo) {
+        for (Attempt one : attempts) {
             String state = states.get(one.id());
             if (state != null) {
                 end(one, Answers.outcomeOf(state), wait, Answers.isOver(state));
@@ -282,7 +283,8 @@
      * has had an answer before, the body is what tells the two apart.
      */
     private boolean saidDelivered() {
-        return cargo.length == 1 && caller.isFirst() && caller.isSent() && caller.answersWith() == HTTP_OK;
+        return attempts.length == 1 && connection.isFirst() && connection.isSent()
+            && connection.answersWith() == HTTP_OK;
     }
 
     @Override
@@ -290,7 +292,8 @@
         if (saidDelivered()) {
             endAll(Egress.FULFILLED, 0, true);
         } else {
-            endAll(!sent ? Egress.UNREACHED : caller.isKeptInVain() ? Egress.STALE : Egress.BROKEN, 0, false);
+            endAll(!sent ? Egress.UNREACHED : connection.isKeptInVain() ? Egress.STALE : Egress.BROKEN, 0,
+                false);
         }
     }
 }
--- /dev/null
+++ b/relay/src/main/java/yewpath/delivery/CallRequest.java
@@ -0,0 +1,59 @@
+package yewpath.delivery;
+
+import com.fasterxml.jackson.core.Base64Variants;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import yewpath.http.Writer;
+import yewpath.json.Tokens;
+
+/** The bytes of a call's request, for one message or for several. */
+final class CallRequest {
+    private CallRequest() {}
+
+    /** {@code within}: for how long the answer is waited for, in microseconds. */
+    static byte[] bytes(InetSocketAddress address, List<Call.Attempt> attempts, long within) {
+        return attempts.size() == 1 ? single(address, attempts.get(0), within)
+            : bulk(address, attempts, within);
+    }
+
+    private static byte[] single(InetSocketAddress address, Call.Attempt one, long within) {
+        Writer head = Writer.request("POST", "/inbox", address).with("Request-Id", one.id())
+            .with("Request-Timeout", within + "u");
+        if (one.key() != null) {
+            head.with("Affinity-Key", one.key());
+        }
+        if (one.tag() != null) {
+            // Without it an endpoint would take a second shot for another envelope.
+            head.with("Idempotency-Key", one.tag());
+        }
+        return head.done(one.body());
+    }
+
+    /**
+     * Who lives longest stands first. Guards against a platform that knows a call by its first envelope: told that this
+     * one is at its end, it takes the call for over, and what the answer then says of the others counts for nothing.
+     */
+    private static byte[] bulk(InetSocketAddress address, List<Call.Attempt> attempts, long within) {
+        List<Call.Attempt> ordered = new ArrayList<>(attempts);
+        ordered.sort(Comparator.comparingLong(Call.Attempt::expiry).reversed());
+        byte[] items = Tokens.write(out -> {
+            out.writeStartArray();
+            for (Call.Attempt one : ordered) {
+                out.writeStartObject();
+                out.writeStringField("id", one.id());
+                if (one.tag() != null || one.key() != null) {
+                    out.writeStringField("key", one.tag() != null ? one.tag() : one.key());
+                }
+                out.writeFieldName("body");
+                out.writeBinary(Base64Variants.MIME_NO_LINEFEEDS, one.body(), 0, one.body().length);
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        });
+        return Writer.request("POST", "/inbox/bulk", address)
+            .with("Request-Timeout", within + "u")
+            .with("Content-Type", "application/json").done(items);
+    }
+}
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -1,27 +1,23 @@
 package yewpath.delivery;
 
-import com.fasterxml.jackson.core.Base64Variants;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import yewpath.events.Event;
 import yewpath.events.Log;
-import yewpath.http.Caller;
+import yewpath.http.ServerConnection;
 import yewpath.http.CloseReason;
-import yewpath.http.Writer;
-import yewpath.json.Tokens;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
 /** Calls to endpoints, and the connections kept to them. */
 public final class Delivery {
-    private record Idle(Caller caller, int endpoint, long since) {}
+    private record Idle(ServerConnection connection, int endpoint, long since) {}
 
     private final Loop loop;
     private final Limits limits;
@@ -80,19 +76,19 @@
     }
 
     /** Sends envelopes as one call that ends {@code endsAt} at the latest. */
-    public Call call(int endpoint, List<Call.Cargo> cargo, long endsAt) {
-        Call call = out(endpoint, connection(endpoint), cargo, endsAt);
+    public Call call(int endpoint, List<Call.Attempt> attempts, long endsAt) {
+        Call call = out(endpoint, connection(endpoint), attempts, endsAt);
         begin(call, endsAt);
         return call;
     }
 
     /** One that {@link #begin} is to send later; until then it can be taken back like one that has not left. */
-    public Call prepare(int endpoint, List<Call.Cargo> cargo, long endsAt) {
-        return out(endpoint, opened(endpoint), cargo, endsAt);
+    public Call prepare(int endpoint, List<Call.Attempt> attempts, long endsAt) {
+        return out(endpoint, opened(endpoint), attempts, endsAt);
     }
 
-    private Call out(int endpoint, Caller caller, List<Call.Cargo> cargo, long endsAt) {
-        Call call = new Call(loop, limits, this, endpoint, caller, cargo, endsAt, reportFields);
+    private Call out(int endpoint, ServerConnection connection, List<Call.Attempt> attempts, long endsAt) {
+        Call call = new Call(loop, limits, this, endpoint, connection, attempts, endsAt, reportFields);
         callsOut.add(call);
         return call;
     }
@@ -103,10 +99,9 @@
             return;
         }
         long within = Math.max(1, endsAt - loop.now());
-        List<Call.Cargo> cargo = call.cargo();
+        List<Call.Attempt> attempts = call.attempts();
         try {
-            call.begin(cargo.size() == 1 ? single(call.endpoint, cargo.get(0), within)
-                : bulk(call.endpoint, cargo, within));
+            call.begin(CallRequest.bytes(addresses[call.endpoint], attempts, within));
         } catch (RuntimeException e) {
             Log.tell(Event.RELAY_FAULT, e);
             call.fault();
@@ -116,87 +111,49 @@
     /** Calls whose connection is still to come up don't leave. */
     public void takeBackUnsent(int endpoint) {
         for (Call call : new ArrayList<>(callsOut)) {
-            if (call.endpoint == endpoint && !call.caller.hasLeft()) {
+            if (call.endpoint == endpoint && !call.connection.hasLeft()) {
                 call.takeBack();
             }
         }
     }
 
-    private byte[] single(int endpoint, Call.Cargo one, long within) {
-        Writer head = Writer.request("POST", "/inbox", addresses[endpoint]).with("Request-Id", one.id())
-            .with("Request-Timeout", within + "u");
-        if (one.key() != null) {
-            head.with("Affinity-Key", one.key());
-        }
-        if (one.tag() != null) {
-            // Without it an endpoint would take a second shot for another envelope.
-            head.with("Idempotency-Key", one.tag());
-        }
-        return head.done(one.body());
-    }
-
-    /**
-     * Who lives longest stands first. Guards against a platform that knows a call by its first envelope: told that this
-     * one is at its end, it takes the call for over, and what the answer then says of the others counts for nothing.
-     */
-    private byte[] bulk(int endpoint, List<Call.Cargo> cargo, long within) {
-        List<Call.Cargo> ordered = new ArrayList<>(cargo);
-        ordered.sort(Comparator.comparingLong(Call.Cargo::expiry).reversed());
-        byte[] items = Tokens.write(out -> {
-            out.writeStartArray();
-            for (Call.Cargo one : ordered) {
-                out.writeStartObject();
-                out.writeStringField("id", one.id());
-                if (one.tag() != null || one.key() != null) {
-                    out.writeStringField("key", one.tag() != null ? one.tag() : one.key());
-                }
-                out.writeFieldName("body");
-                out.writeBinary(Base64Variants.MIME_NO_LINEFEEDS, one.body(), 0, one.body().length);
-                out.writeEndObject();
-            }
-            out.writeEndArray();
-        });
-        return Writer.request("POST", "/inbox/bulk", addresses[endpoint])
-            .with("Request-Timeout", within + "u")
-            .with("Content-Type", "application/json").done(items);
-    }
-
-    private Caller connection(int endpoint) {
-        List<Caller> spoilt = new ArrayList<>();
+    private ServerConnection connection(int endpoint) {
+        List<ServerConnection> spoilt = new ArrayList<>();
         // The one used last: the others grow old and close.
         for (var newest = idle.descendingIterator(); newest.hasNext();) {
             Idle one = newest.next();
             if (one.endpoint == endpoint && loop.now() - one.since < limits.endpointIdle()) {
                 newest.remove();
-                if (one.caller.isQuiet()) {
-                    return one.caller;
+                if (one.connection.isQuiet()) {
+                    return one.connection;
                 }
-                spoilt.add(one.caller);
+                spoilt.add(one.connection);
             }
         }
-        spoilt.forEach(caller -> caller.close(CloseReason.NOT_QUIET));
+        spoilt.forEach(connection -> connection.close(CloseReason.NOT_QUIET));
         if (links >= limits.endpointLinks() && !idle.isEmpty()) {
-            idle.peekFirst().caller.close(CloseReason.MAKE_ROOM);
+            idle.peekFirst().connection.close(CloseReason.MAKE_ROOM);
         }
         return opened(endpoint);
     }
 
-    private Caller opened(int endpoint) {
-        Caller caller = new Caller(loop, limits, addresses[endpoint], limits.bodyMost());
+    private ServerConnection opened(int endpoint) {
+        ServerConnection connection = new ServerConnection(loop, limits, addresses[endpoint],
+            limits.bodyMost());
         links++;
-        caller.afterEnd(() -> {
+        connection.afterEnd(() -> {
             links--;
-            idle.removeIf(one -> one.caller == caller);
+            idle.removeIf(one -> one.connection == connection);
         });
-        return caller;
+        return connection;
     }
 
     void over(Call call) {
         callsOut.remove(call);
-        if (addresses[call.endpoint] == null || !addresses[call.endpoint].equals(call.caller.address())) {
-            call.caller.close(CloseReason.MOVED);
-        } else if (!call.caller.isClosed()) {
-            idle.addLast(new Idle(call.caller, call.endpoint, loop.now()));
+        if (addresses[call.endpoint] == null || !addresses[call.endpoint].equals(call.connection.address())) {
+            call.connection.close(CloseReason.MOVED);
+        } else if (!call.connection.isClosed()) {
+            idle.addLast(new Idle(call.connection, call.endpoint, loop.now()));
             sweepLater();
         }
     }
@@ -212,7 +169,7 @@
     private void sweep() {
         sweeping = false;
         while (!idle.isEmpty() && idle.peekFirst().since + limits.endpointIdle() <= loop.now()) {
-            idle.peekFirst().caller.close(CloseReason.IDLE);
+            idle.peekFirst().connection.close(CloseReason.IDLE);
         }
         sweepLater();
     }
@@ -221,7 +178,7 @@
     public void closeIdle(int endpoint) {
         for (Idle one : new ArrayList<>(idle)) {
             if (one.endpoint == endpoint) {
-                one.caller.close(CloseReason.IDLE);
+                one.connection.close(CloseReason.IDLE);
             }
         }
     }
--- a/relay/src/main/java/yewpath/directory/Watch.java
+++ b/relay/src/main/java/yewpath/directory/Watch.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import yewpath.events.Event;
 import yewpath.events.Log;
-import yewpath.http.Caller;
+import yewpath.http.ServerConnection;
 import yewpath.http.CloseReason;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
@@ -19,7 +19,7 @@
     private final Listing.Hearer hearer;
     private final Runnable failed;
     private long version;
-    private Caller caller;
+    private ServerConnection connection;
     private Loop.Timer again;
     private long backoff;
     private boolean everAnswered;
@@ -40,8 +40,8 @@
         if (again != null) {
             again.callOff();
         }
-        if (caller != null) {
-            caller.drop();
+        if (connection != null) {
+            connection.drop();
         }
         ask("/registry/instances?follow=1&since=" + version, true);
     }
@@ -55,7 +55,7 @@
     public void move(InetSocketAddress address) {
         discovery = address;
         backoff = 0;
-        if (caller != null) {
+        if (connection != null) {
             follow();
         }
     }
@@ -65,15 +65,15 @@
     }
 
     private void ask(String target, boolean following) {
-        Caller asked = new Caller(loop, limits, discovery, limits.lineMost());
-        caller = following ? asked : caller;
+        ServerConnection asked = new ServerConnection(loop, limits, discovery, limits.lineMost());
+        connection = following ? asked : connection;
         byte[] request = Writer.request("GET", target, discovery).done();
         asked.ask(request, new Telling(asked, following));
     }
 
     /** One answer of discovery, as long as it lasts. */
-    private final class Telling implements Caller.Answer {
-        private final Caller from;
+    private final class Telling implements ServerConnection.Answer {
+        private final ServerConnection from;
         private final boolean following;
         private final Values values = new Values(this::object, this::emptyLine);
         private Loop.Timer quiet;
@@ -81,7 +81,7 @@
         private boolean headHeard;
         private boolean answered;
 
-        Telling(Caller from, boolean following) {
+        Telling(ServerConnection from, boolean following) {
             this.from = from;
             this.following = following;
             isAlive();
--- a/relay/src/main/java/yewpath/http/Caller.java
+++ b/relay/src/main/java/yewpath/http/ServerConnection.java
@@ -12,7 +12,7 @@
 import yewpath.loop.Loop;
 
 /** This side's end of a connection to another server: one request at a time, never sent twice by itself. */
-public final class Caller implements Link.Owner {
+public final class ServerConnection implements Link.Owner {
     /** What follows a request, exactly one of {@code whole} and {@code failed} at last. */
     public interface Answer {
         /** Runs just before the first byte leaves; false where none is to leave any more, and whoever asked knows. */
@@ -52,7 +52,7 @@
     private Runnable afterEnd = () -> {};
 
     /** Connects to the address at the first request; answers are read up to this size. */
-    public Caller(Loop loop, Limits limits, InetSocketAddress address, int bodyMost) {
+    public ServerConnection(Loop loop, Limits limits, InetSocketAddress address, int bodyMost) {
         this.loop = loop;
         this.limits = limits;
         this.address = address;
--- a/relay/src/main/java/yewpath/intake/Visit.java
+++ b/relay/src/main/java/yewpath/intake/ClientConnection.java
@@ -14,7 +14,7 @@
 import yewpath.loop.Loop;
 
 /** One client's connection: reads a request, waits for its answer, then reads the next. */
-final class Visit implements Link.Owner {
+final class ClientConnection implements Link.Owner {
     /** One that waits for its answer is never closed for want of room. */
     static final int NEEDED = 4;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -22,8 +22,8 @@
 
     private final Loop loop;
     private final Limits limits;
-    private final Desk desk;
-    private final Consumer<Visit> left;
+    private final MessageIntake intake;
+    private final Consumer<ClientConnection> left;
     private final Parser parser;
     private final Link link;
     private final long connectedAt;
@@ -34,10 +34,11 @@
     private boolean leaving;
     private boolean told;
 
-    Visit(Loop loop, Limits limits, Desk desk, StreamConnection connection, Consumer<Visit> left) {
+    ClientConnection(Loop loop, Limits limits, MessageIntake intake, StreamConnection connection,
+        Consumer<ClientConnection> left) {
         this.loop = loop;
         this.limits = limits;
-        this.desk = desk;
+        this.intake = intake;
         this.left = left;
         parser = new Parser(true, limits.headMost(), limits.bodyMost());
         connectedAt = since = loop.now();
@@ -178,15 +179,15 @@
                 answer(Writer.answer(405).with("Allow", "GET"), new byte[0]);
             } else if (path.equals("/stats")) {
                 answer(Writer.answer(200).with("Content-Type", "application/json"),
-                    desk.figures());
+                    intake.figures());
             } else {
-                answer(Writer.answer(path.equals("/health/live") || desk.isReady() ? 200 : 503),
+                answer(Writer.answer(path.equals("/health/live") || intake.isReady() ? 200 : 503),
                     new byte[0]);
             }
             return;
         }
         String offering = path.startsWith("/") ? path.substring(1).split("/", 2)[0] : "";
-        if (!desk.knows(offering)) {
+        if (!intake.knows(offering)) {
             answer(404);
         } else if (!parser.method().equals("POST")) {
             answer(Writer.answer(405).with("Allow", "POST"), new byte[0]);
@@ -204,9 +205,9 @@
             answer(400);
             return;
         }
-        desk.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"),
+        intake.handIn(id, offering, parser.header("Tenant"), parser.header("Affinity-Key"),
             parser.header("Idempotency-Key"),
-            destination, within, parser.takeBody(), new Desk.Reply() {
+            destination, within, parser.takeBody(), new MessageIntake.Reply() {
                 @Override
                 public boolean with(int status, long pause) {
                     Writer answer = Writer.answer(status);
@@ -233,7 +234,7 @@
         if (link.isClosed()) {
             return;
         }
-        boolean last = !parser.lasting() || desk.isClosing();
+        boolean last = !parser.lasting() || intake.isClosing();
         if (last) {
             answer.with("Connection", "close");
         }
--- a/relay/src/main/java/yewpath/intake/Door.java
+++ b/relay/src/main/java/yewpath/intake/ClientListener.java
@@ -19,20 +19,20 @@
 import yewpath.loop.Loop;
 
 /** Where clients connect; holds a bounded number of them and closes those that stay too long. */
-public final class Door {
+public final class ClientListener {
     private final Loop loop;
     private final Limits limits;
-    private final Desk desk;
-    private final Set<Visit> visits = new LinkedHashSet<>();
+    private final MessageIntake intake;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private XnioWorker worker;
     private AcceptingChannel<StreamConnection> listener;
     private boolean shut;
 
-    /** Hands requests to the desk; nothing is open yet. */
-    public Door(Loop loop, Limits limits, Desk desk) {
+    /** Hands requests to the intake; nothing is open yet. */
+    public ClientListener(Loop loop, Limits limits, MessageIntake intake) {
         this.loop = loop;
         this.limits = limits;
-        this.desk = desk;
+        this.intake = intake;
     }
 
     /** Listens at an address and returns the one that it got. */
@@ -60,10 +60,10 @@
     }
 
     private void enter(StreamConnection connection) {
-        if (visits.size() >= limits.clientLinks()) {
+        if (connections.size() >= limits.clientLinks()) {
             leastBusy();
         }
-        visits.add(new Visit(loop, limits, desk, connection, visits::remove));
+        connections.add(new ClientConnection(loop, limits, intake, connection, connections::remove));
     }
 
     /**
@@ -72,9 +72,9 @@
      */
     private void leastBusy() {
         long now = loop.now();
-        for (Visit goes = leastMissed(now); goes != null; goes = leastMissed(now)) {
+        for (ClientConnection goes = leastMissed(now); goes != null; goes = leastMissed(now)) {
             if (goes.restsStill(now)) {
-                Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, visits.size());
+                Log.tell(Event.CLIENT_EVICTED, (now - goes.quietSince()) / 1000, connections.size());
                 goes.close(CloseReason.MAKE_ROOM);
                 return;
             }
@@ -82,13 +82,14 @@
     }
 
     /** Of several the longest quiet; null where each waits for its answer. */
-    private Visit leastMissed(long now) {
-        Visit goes = null;
-        int least = Visit.NEEDED;
-        for (Visit visit : visits) {
-            int missed = visit.missed(now);
-            if (missed < least || goes != null && missed == least && visit.quietSince() < goes.quietSince()) {
-                goes = visit;
+    private ClientConnection leastMissed(long now) {
+        ClientConnection goes = null;
+        int least = ClientConnection.NEEDED;
+        for (ClientConnection connection : connections) {
+            int missed = connection.missed(now);
+            if (missed < least
+                || goes != null && missed == least && connection.quietSince() < goes.quietSince()) {
+                goes = connection;
                 least = missed;
             }
         }
@@ -98,7 +99,7 @@
     /** Ends the connections that rest between two requests; the others have their answer first. */
     public void endResting() {
         long now = loop.now();
-        new ArrayList<>(visits).forEach(visit -> visit.endIfResting(now));
+        new ArrayList<>(connections).forEach(connection -> connection.endIfResting(now));
     }
 
     /**
@@ -117,7 +118,7 @@
     }
 
     private void listenNoMore() {
-        if (visits.size() >= limits.clientLinks()) {
+        if (connections.size() >= limits.clientLinks()) {
             // Full, it let in only some: as soon as one has left, the next.
             loop.after(limits.sweepEvery() / 10, this::shut);
             return;
@@ -128,18 +129,18 @@
 
     /** Whether nobody is left and nobody can come. */
     public boolean isEmpty() {
-        return shut && visits.isEmpty();
+        return shut && connections.isEmpty();
     }
 
     /** Ends all but those whose answer is due, whatever they wait for. */
     public void endAll() {
-        new ArrayList<>(visits).forEach(Visit::end);
+        new ArrayList<>(connections).forEach(ClientConnection::end);
     }
 
     private void sweep() {
         long now = loop.now();
-        for (Visit visit : new ArrayList<>(visits)) {
-            visit.checkTime(now);
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            connection.checkTime(now);
         }
         loop.after(limits.sweepEvery(), this::sweep);
     }
--- a/relay/src/main/java/yewpath/intake/Desk.java
+++ b/relay/src/main/java/yewpath/intake/MessageIntake.java
@@ -1,7 +1,7 @@
 package yewpath.intake;
 
 /** What clients' requests are handed to. */
-public interface Desk {
+public interface MessageIntake {
     /** What is left to do once it is decided how an envelope is received. */
     interface Reply {
         /** {@code pause} in microseconds, 0 for none told. Returns false where the client has left. */
--- a/relay/src/main/java/yewpath/outcome/Notices.java
+++ b/relay/src/main/java/yewpath/outcome/Notices.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import yewpath.events.Event;
 import yewpath.events.Log;
-import yewpath.http.Caller;
+import yewpath.http.ServerConnection;
 import yewpath.http.CloseReason;
 import yewpath.http.Parser;
 import yewpath.http.Writer;
@@ -25,7 +25,7 @@
     private InetSocketAddress platform;
     private final Consumer<Entry> told;
     private final ArrayDeque<Entry> owed = new ArrayDeque<>();
-    private Caller caller;
+    private ServerConnection connection;
     private boolean busy;
     private int underWay;
     private Loop.Timer pause;
@@ -52,8 +52,8 @@
      */
     public void move(InetSocketAddress address) {
         platform = address;
-        if (caller != null) {
-            caller.close(CloseReason.REPLACED);
+        if (connection != null) {
+            connection.close(CloseReason.REPLACED);
         }
         backoff = 0;
         if (pause != null) {
@@ -83,8 +83,8 @@
             batch.add(entry);
         }
         underWay = batch.size();
-        if (caller == null || caller.isClosed()) {
-            caller = new Caller(loop, limits, platform, limits.bodyMost());
+        if (connection == null || connection.isClosed()) {
+            connection = new ServerConnection(loop, limits, platform, limits.bodyMost());
         }
         byte[] request = Writer.request("POST", "/v1/outcomes", platform)
             .with("Content-Type", "application/json").done(Tokens.write(out -> {
@@ -94,8 +94,8 @@
             }));
         // Longer after each failure, or a platform that is only slow would never be heard.
         Loop.Timer within = loop.after(limits.noticeWithin() + backoff,
-            () -> caller.close(CloseReason.NO_ANSWER));
-        caller.ask(request, new Caller.Answer() {
+            () -> connection.close(CloseReason.NO_ANSWER));
+        connection.ask(request, new ServerConnection.Answer() {
             @Override
             public void whole(Parser answer) {
                 within.callOff();
--- a/relay/src/main/java/yewpath/relay/Held.java
+++ b/relay/src/main/java/yewpath/relay/HeldMessage.java
@@ -1,16 +1,16 @@
 package yewpath.relay;
 
 import yewpath.delivery.Call;
-import yewpath.intake.Desk;
+import yewpath.intake.MessageIntake;
 import yewpath.ledger.Entry;
 
 /** One envelope under its index while it is open or a shot of it is out. */
-final class Held {
+final class HeldMessage {
     final Entry entry;
     final int index;
     final int key;
     /** Until the client has its answer. */
-    Desk.Reply reply;
+    MessageIntake.Reply reply;
     boolean over;
     /** Whether the client left without its answer: whatever was to be sent is not. */
     boolean left;
@@ -21,9 +21,9 @@
     long leaveBy;
     /** The call that is out, and what of it is this envelope's. */
     Call call;
-    Call.Cargo cargo;
+    Call.Attempt attempt;
 
-    Held(Entry entry, int index, int key) {
+    HeldMessage(Entry entry, int index, int key) {
         this.entry = entry;
         this.index = index;
         this.key = key;
--- a/relay/src/main/java/yewpath/relay/Envelopes.java
+++ b/relay/src/main/java/yewpath/relay/HeldMessages.java
@@ -6,13 +6,13 @@
 import yewpath.ledger.Entry;
 
 /** The envelopes held, under small indices that are used again once nothing of an envelope is left. */
-final class Envelopes {
+final class HeldMessages {
     private final Names ids = new Names();
     private final Keys keys;
-    private Held[] held = new Held[64];
+    private HeldMessage[] held = new HeldMessage[64];
     private int open;
 
-    Envelopes(long keyRest) {
+    HeldMessages(long keyRest) {
         keys = new Keys(keyRest);
     }
 
@@ -24,26 +24,26 @@
         return ids.find(id) >= 0;
     }
 
-    Held at(int index) {
+    HeldMessage at(int index) {
         return held[index];
     }
 
-    Held add(Entry entry, long now) {
+    HeldMessage add(Entry entry, long now) {
         int index = ids.of(entry.id);
         held = index >= held.length ? Arrays.copyOf(held, index * 2) : held;
-        held[index] = new Held(entry, index, entry.key == null ? -1 : keys.hold(entry.key, now));
+        held[index] = new HeldMessage(entry, index, entry.key == null ? -1 : keys.hold(entry.key, now));
         open++;
         return held[index];
     }
 
-    void end(Held one, long now) {
+    void end(HeldMessage one, long now) {
         open -= one.over ? 0 : 1;
         one.over = true;
         release(one, now);
     }
 
     /** An index is another's only when no shot can come back to it. */
-    void release(Held one, long now) {
+    void release(HeldMessage one, long now) {
         if (one.over && one.shotsOut == 0 && held[one.index] == one) {
             keys.release(one.key, now);
             held[one.index] = null;
--- a/relay/src/main/java/yewpath/relay/Asked.java
+++ b/relay/src/main/java/yewpath/relay/ProcessSignals.java
@@ -7,17 +7,17 @@
  * which nobody is there yet to do it: SIGHUP would end the process or be forgotten, and SIGTERM end one that takes
  * envelopes already without the end it owes its clients.
  */
-public final class Asked {
+public final class ProcessSignals {
     private Runnable reload;
     private Runnable end;
     private boolean reloadDue;
     private boolean ending;
 
-    Asked() {}
+    ProcessSignals() {}
 
     /** Hears signals from now on; once a process. */
-    public static Asked listen() {
-        Asked asked = new Asked();
+    public static ProcessSignals listen() {
+        ProcessSignals asked = new ProcessSignals();
         Signal.handle(new Signal("HUP"), hangUp -> asked.hangUp());
         Runtime.getRuntime().addShutdownHook(new Thread(asked::terminate));
         return asked;
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -18,8 +18,8 @@
 import yewpath.directory.Watch;
 import yewpath.events.Event;
 import yewpath.events.Log;
-import yewpath.intake.Desk;
-import yewpath.intake.Door;
+import yewpath.intake.MessageIntake;
+import yewpath.intake.ClientListener;
 import yewpath.json.Tokens;
 import yewpath.ledger.Entry;
 import yewpath.ledger.Ledger;
@@ -31,11 +31,11 @@
  * The one that speaks with Logic. A round: what was gathered is handed in, Logic closes the round, the ledger
  * is written, and only then does anything leave that rests on it.
  */
-final class Relay implements Egress, Desk {
+final class Relay implements Egress, MessageIntake {
     /** One call to make: an endpoint and what Logic sent there in this round. */
     private static final class Sending {
         final int endpoint;
-        final List<Held> carried = new ArrayList<>(1);
+        final List<HeldMessage> carried = new ArrayList<>(1);
         long endsAt;
 
         Sending(int endpoint) {
@@ -62,16 +62,16 @@
     private final Notices notices;
     private final Endpoints endpoints;
     private final Watch watch;
-    private final Envelopes envelopes;
+    private final HeldMessages envelopes;
     private final KeyOrder keyOrder = new KeyOrder();
-    private final Closing closing;
+    private final Shutdown closing;
     private final int holdLimit;
     /** That of envelopes from an earlier life whose offering the settings of this one don't name. */
     private final int unknownOffering;
     private final boolean tellsPause;
     private final long listBy;
     /** Of this round: envelopes whose clients wait, what Logic asked for, and calls that more may join. */
-    private final List<Held> taken = new ArrayList<>();
+    private final List<HeldMessage> taken = new ArrayList<>();
     private final List<Runnable> acts = new ArrayList<>();
     private final Map<Integer, Sending> joining = new HashMap<>();
     /** Ends that are not told yet, since they could not be written down. */
@@ -97,8 +97,8 @@
         settings.slots = Math.min(settings.slots, limits.endpointLinks());
         holdLimit = settings.holdLimit > 0 ? settings.holdLimit : Integer.MAX_VALUE;
         tellsPause = settings.tellsPause;
-        envelopes = new Envelopes(settings.settleAfterDoubt);
-        closing = new Closing(loop, limits);
+        envelopes = new HeldMessages(settings.settleAfterDoubt);
+        closing = new Shutdown(loop, limits);
         delivery = new Delivery(loop, limits, boot.reportFields, this::flush);
         notices = new Notices(loop, limits, config.discovery, this::told);
         loop.eachRound(this::round);
@@ -154,7 +154,7 @@
         }
     }
 
-    private void hand(Held one, int offering, int doubtZone) {
+    private void hand(HeldMessage one, int offering, int doubtZone) {
         Entry entry = one.entry;
         logic.taken(one.index, offering, entry.tenant == null ? -1 : boot.tenants.find(entry.tenant), one.key,
             endpoints.destination(entry.destination), entry.expiry, entry.shots, entry.doubtSince, doubtZone);
@@ -204,7 +204,7 @@
 
     /** What could not be written down is not taken on. */
     private void refuseTaken() {
-        for (Held one : List.copyOf(taken)) {
+        for (HeldMessage one : List.copyOf(taken)) {
             ledger.discard(one.entry);
             if (!one.over) {
                 refuse(one.entry.id, "disk", one.reply);
@@ -291,7 +291,7 @@
         }
         // Written down at once, so that the next of the same round finds what room is left.
         ledger.taken(entry);
-        Held one = envelopes.add(entry, loop.now());
+        HeldMessage one = envelopes.add(entry, loop.now());
         one.reply = reply;
         taken.add(one);
         takenEver++;
@@ -311,12 +311,12 @@
 
     /** The first thing to leave in a round: that envelopes handed in are taken on. */
     private void answerClients() {
-        List<Held> due = List.copyOf(taken);
+        List<HeldMessage> due = List.copyOf(taken);
         taken.clear();
         due.forEach(one -> Loop.safely(() -> answerClient(one)));
     }
 
-    private void answerClient(Held one) {
+    private void answerClient(HeldMessage one) {
         Reply reply = one.reply;
         one.reply = null;
         if (!one.over && !reply.with(202, 0)) {
@@ -326,14 +326,14 @@
         }
     }
 
-    private void withdraw(Held one) {
+    private void withdraw(HeldMessage one) {
         if (!one.over) {
             Log.tell(Event.ENVELOPE_WITHDRAWN, one.entry.id);
         }
         letGo(one);
     }
 
-    private void letGo(Held one) {
+    private void letGo(HeldMessage one) {
         if (!one.over) {
             logic.withdrawn(one.index);
             ledger.over(one.entry);
@@ -345,7 +345,7 @@
 
     @Override
     public void send(int envelope, int endpoint, long withinMicros, long leaveBy) {
-        Held one = envelopes.at(envelope);
+        HeldMessage one = envelopes.at(envelope);
         one.leaveBy = leaveBy;
         one.shotsOut++;
         one.shots++;
@@ -363,23 +363,23 @@
     }
 
     private void shoot(Sending sending) {
-        List<Call.Cargo> cargo = new ArrayList<>();
-        List<Held> with = new ArrayList<>();
-        for (Held one : sending.carried) {
-            one.cargo = new Shot(one, sending.endpoint);
+        List<Call.Attempt> attempts = new ArrayList<>();
+        List<HeldMessage> with = new ArrayList<>();
+        for (HeldMessage one : sending.carried) {
+            one.attempt = new Shot(one, sending.endpoint);
             if (one.left) {
-                one.cargo.ended(MOOT, 0, true, Double.NaN, Double.NaN);
-                one.cargo.callOver();
+                one.attempt.ended(MOOT, 0, true, Double.NaN, Double.NaN);
+                one.attempt.callOver();
             } else if (isOrdered(one.entry) && keyOrder.isHeld(one.entry.key)) {
-                Call waits = delivery.prepare(sending.endpoint, List.of(one.cargo), sending.endsAt);
+                Call waits = delivery.prepare(sending.endpoint, List.of(one.attempt), sending.endsAt);
                 one.call = waits;
                 keyOrder.whenOver(one.entry.key, () -> delivery.begin(waits, sending.endsAt));
             } else {
-                cargo.add(one.cargo);
+                attempts.add(one.attempt);
                 with.add(one);
             }
         }
-        Call call = cargo.isEmpty() ? null : delivery.call(sending.endpoint, cargo, sending.endsAt);
+        Call call = attempts.isEmpty() ? null : delivery.call(sending.endpoint, attempts, sending.endsAt);
         with.forEach(one -> one.call = call);
     }
 
@@ -390,13 +390,13 @@
     }
 
     /** An envelope's part in a call, and what its end leaves to be done. */
-    private final class Shot implements Call.Cargo {
-        private final Held one;
+    private final class Shot implements Call.Attempt {
+        private final HeldMessage one;
         private final int endpoint;
         private final int number;
         private final long sentAt = loop.now();
 
-        Shot(Held one, int endpoint) {
+        Shot(HeldMessage one, int endpoint) {
             this.one = one;
             this.endpoint = endpoint;
             number = one.shots - 1;
@@ -490,11 +490,11 @@
 
     @Override
     public void cancel(int envelope, int shot) {
-        Held one = envelopes.at(envelope);
+        HeldMessage one = envelopes.at(envelope);
         acts.add(() -> {
             // An envelope has one shot out at most: the one meant.
             if (one != null && one.call != null) {
-                one.call.cancel(one.cargo);
+                one.call.cancel(one.attempt);
             }
         });
     }
@@ -528,7 +528,7 @@
         finish(envelopes.at(envelope), false, 0);
     }
 
-    private void finish(Held one, boolean handedBack, long pause) {
+    private void finish(HeldMessage one, boolean handedBack, long pause) {
         if (one.over) {
             return;
         }
@@ -594,9 +594,10 @@
 
     // ---- Closing
 
-    void close(Door door, CountDownLatch gone) {
+    void close(ClientListener listener, CountDownLatch gone) {
         Log.tell(Event.RELAY_CLOSING, envelopes.open(), delivery.callsOut());
-        closing.begin(door, () -> delivery.callsOut() > 0 || notices.isTelling(), () -> envelopes.open() > 0,
+        closing.begin(listener, () -> delivery.callsOut() > 0 || notices.isTelling(),
+            () -> envelopes.open() > 0,
             gone);
     }
 
--- a/relay/src/main/java/yewpath/relay/Serve.java
+++ b/relay/src/main/java/yewpath/relay/RelayServer.java
@@ -12,7 +12,7 @@
 import org.xnio.XnioWorker;
 import yewpath.events.Event;
 import yewpath.events.Log;
-import yewpath.intake.Door;
+import yewpath.intake.ClientListener;
 import yewpath.ledger.Ledger;
 import yewpath.loop.Clock;
 import yewpath.loop.Loop;
@@ -20,12 +20,12 @@
 import yewpath.operator.Operator;
 
 /** Starts a relay and ends it when the process is asked to. */
-public final class Serve {
+public final class RelayServer {
     /** A platform takes a relay for failed that is not ready within 30 s. */
     private static final long OPEN_WITHIN = 25_000_000;
     private static final long OPEN_AGAIN_AFTER = 100_000;
 
-    private Serve() {}
+    private RelayServer() {}
 
     /** A relay that takes envelopes, and where it listens. */
     public record Running(InetSocketAddress at, Loop loop, Ledger ledger) {
@@ -41,12 +41,12 @@
     }
 
     /** Returns once the relay takes envelopes; it goes on until the process ends. */
-    public static Running start(Config config, Asked asked)
+    public static Running start(Config config, ProcessSignals asked)
         throws IOException, InterruptedException {
         logAsTold(config.operator);
         Clock clock = new Clock();
         Ledger ledger = open(config, clock);
-        XnioWorker worker = Xnio.getInstance("nio", Serve.class.getClassLoader())
+        XnioWorker worker = Xnio.getInstance("nio", RelayServer.class.getClassLoader())
             .createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "yewpath").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
@@ -58,10 +58,10 @@
         loop.thread().execute(() -> {
             try {
                 relay[0] = new Relay(config, loop, ledger);
-                Door door = new Door(loop, config.limits, relay[0]);
+                ClientListener listener = new ClientListener(loop, config.limits, relay[0]);
                 // Ahead of the first client: none is met by a process that would end as if it had been killed.
-                if (asked.toEnd(() -> end(loop, relay[0], door, config))) {
-                    at[0] = door.open(worker, config.listen);
+                if (asked.toEnd(() -> end(loop, relay[0], listener, config))) {
+                    at[0] = listener.open(worker, config.listen);
                 } else {
                     failure[0] = new IOException("asked to end before it had begun");
                 }
@@ -127,10 +127,10 @@
             started.operator.changes(anew.operator, false));
     }
 
-    private static void end(Loop loop, Relay relay, Door door, Config config) {
+    private static void end(Loop loop, Relay relay, ClientListener listener, Config config) {
         CountDownLatch gone = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
-        loop.thread().execute(() -> relay.close(door, gone));
+        loop.thread().execute(() -> relay.close(listener, gone));
         try {
             long beat = config.limits.drainLeast() / 10;
             gone.await(config.limits.drainBound() + beat, TimeUnit.MICROSECONDS);
--- a/relay/src/main/java/yewpath/relay/Closing.java
+++ b/relay/src/main/java/yewpath/relay/Shutdown.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
-import yewpath.intake.Door;
+import yewpath.intake.ClientListener;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 
@@ -10,7 +10,7 @@
  * The end of a relay, stage by stage. The process goes only once no client is left whose request it may have read, or
  * at the bound ahead of the kill: a connection that ends with the process is reset, whatever lies in it.
  */
-final class Closing {
+final class Shutdown {
     /** In this order, none twice. */
     private enum Stage {
         SERVING,
@@ -31,7 +31,7 @@
     private Stage stage = Stage.SERVING;
     private long since;
 
-    Closing(Loop loop, Limits limits) {
+    Shutdown(Loop loop, Limits limits) {
         this.loop = loop;
         this.limits = limits;
     }
@@ -46,41 +46,42 @@
     }
 
     /** {@code underWay}: calls that are out, and notices that the platform is about to hear. */
-    void begin(Door door, BooleanSupplier underWay, BooleanSupplier held, CountDownLatch gone) {
+    void begin(ClientListener listener, BooleanSupplier underWay, BooleanSupplier held, CountDownLatch gone) {
         if (!hasBegun()) {
             stage = Stage.REFUSING;
             since = loop.now();
-            watch(door, underWay, held, gone);
+            watch(listener, underWay, held, gone);
         }
     }
 
-    private void watch(Door door, BooleanSupplier underWay, BooleanSupplier held, CountDownLatch gone) {
+    private void watch(ClientListener listener, BooleanSupplier underWay, BooleanSupplier held,
+        CountDownLatch gone) {
         long now = loop.now();
         long beat = limits.drainLeast() / 10;
         long closingFor = now - since;
         if (stage != Stage.REFUSING) {
-            door.endResting();
+            listener.endResting();
         }
         switch (stage) {
             case REFUSING -> {
                 if (closingFor >= limits.drainLeast()) {
                     stage = Stage.FINISHING;
-                    door.endResting();
+                    listener.endResting();
                 }
             }
             case FINISHING -> {
                 boolean waits = underWay.getAsBoolean() || held.getAsBoolean() && mayShoot(now);
                 if (!waits || closingFor >= limits.drainMost()) {
                     stage = Stage.SHUTTING;
-                    door.shut();
+                    listener.shut();
                 }
             }
             default -> {
                 // Ahead of the bound, so that who is refused now has read its answer by then.
                 if (closingFor >= limits.drainBound() - 3 * beat) {
-                    door.endAll();
+                    listener.endAll();
                 }
-                if (door.isEmpty() || closingFor >= limits.drainBound()) {
+                if (listener.isEmpty() || closingFor >= limits.drainBound()) {
                     stage = Stage.GONE;
                     gone.countDown();
                     return;
@@ -88,6 +89,6 @@
             }
         }
         loop.ask();
-        loop.after(beat, () -> watch(door, underWay, held, gone));
+        loop.after(beat, () -> watch(listener, underWay, held, gone));
     }
 }
--- a/relay/src/main/java/yewpath/relay/Check.java
+++ b/relay/src/main/java/yewpath/relay/TrialStart.java
@@ -14,8 +14,8 @@
  * A start on trial: tells whether a configuration serves. The build runs it too, so that the classes a start
  * needs are written to an archive: a relay that restarts is back in half the time.
  */
-public final class Check {
-    private Check() {}
+public final class TrialStart {
+    private TrialStart() {}
 
     /** Starts a relay in an empty folder on a free port, hands in one message and returns what to print. */
     public static String run(String file, String operatorFile, Map<String, String> environment)
@@ -33,7 +33,7 @@
             .read(("{\"version\":0,\"full\":true,\"servers\":[{\"id\":\"check\",\"addr\":\"127.0.0.1:1\","
                 + "\"zone\":\"check\",\"kind\":\"check\",\"cell\":0,\"state\":\"draining\",\"weight\":1.0,"
                 + "\"started_ms\":0}]}").getBytes(StandardCharsets.UTF_8));
-        Serve.Running relay = Serve.start(config, Asked.listen());
+        RelayServer.Running relay = RelayServer.start(config, ProcessSignals.listen());
         String ready = ask(relay.at(), "GET /health/ready HTTP/1.1\r\n\r\n");
         String taken = ask(relay.at(),
             "POST /" + config.boot.offerings.name(0) + " HTTP/1.1\r\nRequest-Id: check\r\n"
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -26,8 +26,8 @@
 import org.xnio.XnioWorker;
 import yewpath.delivery.Call;
 import yewpath.delivery.Delivery;
-import yewpath.intake.Desk;
-import yewpath.intake.Door;
+import yewpath.intake.MessageIntake;
+import yewpath.intake.ClientListener;
 import yewpath.loop.Limits;
 import yewpath.loop.Loop;
 import yewpath.operator.Operator;
@@ -54,14 +54,14 @@
     }
 
     /** One envelope, and how its shots ended. */
-    private final class Cargo implements Call.Cargo {
+    private final class Attempt implements Call.Attempt {
         final List<Integer> outcomes = new CopyOnWriteArrayList<>();
         final String id;
         final long expiry;
         final long leaveBy;
         byte[] body = {'x'};
 
-        Cargo(String id, long expiresIn, long leavesIn) {
+        Attempt(String id, long expiresIn, long leavesIn) {
             this.id = id;
             expiry = loop.now() + expiresIn;
             leaveBy = loop.now() + leavesIn;
@@ -110,7 +110,7 @@
         }
     }
 
-    private void send(Cargo cargo, InetSocketAddress to) {
+    private void send(Attempt cargo, InetSocketAddress to) {
         loop.thread().execute(() -> {
             delivery.place(0, to);
             delivery.call(0, List.of(cargo), cargo.expiry);
@@ -125,7 +125,7 @@
     @Test
     public void whatHasNotLeftInItsTimeIsTakenBack() throws Exception {
         try (Stand.Deaf deaf = new Stand.Deaf()) {
-            Cargo cargo = new Cargo("late", 20_000_000, 300_000);
+            Attempt cargo = new Attempt("late", 20_000_000, 300_000);
             send(cargo, at(deaf.address()));
             until("it is taken back, its connection not up yet", 1_500, () -> cargo.outcomes.size() == 1);
             assertEquals(cargo.outcomes, List.of(Egress.MOOT));
@@ -135,13 +135,13 @@
     @Test
     public void aCallThatCannotBePutTogetherEndsAsNotSent() throws Exception {
         try (Stand.Server endpoint = new Stand.Server(got -> OK)) {
-            Cargo cargo = new Cargo("faulty", 20_000_000, 20_000_000);
+            Attempt cargo = new Attempt("faulty", 20_000_000, 20_000_000);
             cargo.body = null;
             send(cargo, at(endpoint.address()));
             until("it has its end", 2_000, () -> cargo.outcomes.size() == 1);
             assertEquals(cargo.outcomes, List.of(Egress.MOOT));
             assertEquals(delivery.callsOut(), 0);
-            Cargo next = new Cargo("next", 20_000_000, 20_000_000);
+            Attempt next = new Attempt("next", 20_000_000, 20_000_000);
             send(next, at(endpoint.address()));
             until("the next goes as ever", 2_000, () -> next.outcomes.equals(List.of(Egress.FULFILLED)));
         }
@@ -151,7 +151,7 @@
     @Test
     public void anAnswerThatLiesInTheSocketAtTheExpiryCounts() throws Exception {
         try (Stand.Server endpoint = new Stand.Server(got -> SILENCE)) {
-            Cargo cargo = new Cargo("just", 2_500_000, 2_500_000);
+            Attempt cargo = new Attempt("just", 2_500_000, 2_500_000);
             send(cargo, at(endpoint.address()));
             until("it is out", 2_000, () -> endpoint.got.size() == 1);
             CountDownLatch held = new CountDownLatch(1);
@@ -178,9 +178,9 @@
         try (Stand.Server endpoint = new Stand.Server(got -> first)) {
             endpoint.answer = got -> got.body.contains("\"a\"") ? first
                 : got.connection == 1 ? first + second : second;
-            Cargo a = new Cargo("a", 20_000_000, 20_000_000);
-            Cargo b = new Cargo("b", 20_000_000, 20_000_000);
-            Cargo c = new Cargo("c", 20_000_000, 20_000_000);
+            Attempt a = new Attempt("a", 20_000_000, 20_000_000);
+            Attempt b = new Attempt("b", 20_000_000, 20_000_000);
+            Attempt c = new Attempt("c", 20_000_000, 20_000_000);
             sendTogether(at(endpoint.address()), a, b);
             until("one is refused", 2_000, () -> b.outcomes.equals(List.of(Egress.FULL)));
             sendTogether(at(endpoint.address()), b, c);
@@ -195,7 +195,7 @@
     public void aSuccessAheadOfTheWholeRequestIsNoDelivery() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             listener.setReceiveBufferSize(4_096);
-            Cargo cargo = new Cargo("large", 20_000_000, 20_000_000);
+            Attempt cargo = new Attempt("large", 20_000_000, 20_000_000);
             cargo.body = new byte[16 << 20];
             send(cargo, at("127.0.0.1:" + listener.getLocalPort()));
             try (Socket peer = listener.accept()) {
@@ -211,14 +211,14 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    private void sendTogether(InetSocketAddress to, Cargo... cargo) {
+    private void sendTogether(InetSocketAddress to, Attempt... cargo) {
         loop.thread().execute(() -> {
             delivery.place(0, to);
             delivery.call(0, List.of(cargo), cargo[0].expiry);
         });
     }
 
-    private final class Refusing implements Desk {
+    private final class Refusing implements MessageIntake {
         @Override
         public boolean isClosing() {
             return false;
@@ -254,7 +254,7 @@
     /** More than a look can read lies in the socket as the door ends all: closed over it, the answer would go with it. */
     @Test
     public void whoHasSentAPartOfMuchReadsItsRefusalToTheEnd() throws Exception {
-        Door door = new Door(loop, limits, new Refusing());
+        ClientListener door = new ClientListener(loop, limits, new Refusing());
         InetSocketAddress[] at = new InetSocketAddress[1];
         CountDownLatch open = new CountDownLatch(1);
         loop.thread().execute(() -> {
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -188,8 +188,8 @@
         Delivery delivery = new Delivery(loop, new Limits(name -> 0, 1_000_000, 2_000_000, Operator.STANDARD),
             List.of(), () -> true);
         AtomicInteger outcomes = new AtomicInteger();
-        Call.Cargo cargo = (Call.Cargo) Proxy.newProxyInstance(Call.Cargo.class.getClassLoader(),
-            new Class<?>[]{Call.Cargo.class}, (proxy, method, args) -> switch (method.getName()) {
+        Call.Attempt cargo = (Call.Attempt) Proxy.newProxyInstance(Call.Attempt.class.getClassLoader(),
+            new Class<?>[]{Call.Attempt.class}, (proxy, method, args) -> switch (method.getName()) {
                 case "id" -> "q" + outcomes.get();
                 case "body" -> new byte[0];
                 case "expiry", "leaveBy" -> loop.now() + 5_000_000;
--- a/relay/src/test/java/yewpath/relay/AskedTest.java
+++ b/relay/src/test/java/yewpath/relay/ProcessSignalsTest.java
@@ -9,12 +9,12 @@
 import org.testng.annotations.Test;
 
 /** What is asked by a signal is done once somebody can, whenever it came. */
-public final class AskedTest {
+public final class ProcessSignalsTest {
     private final List<String> done = new ArrayList<>();
 
     @Test
     public void aReloadAskedForDuringAStartIsDoneOnceAtItsEnd() {
-        Asked asked = new Asked();
+        ProcessSignals asked = new ProcessSignals();
         asked.hangUp();
         asked.hangUp();
         done.clear();
@@ -26,7 +26,7 @@
 
     @Test
     public void anEndAskedForBeforeTheDoorOpensLeavesItShut() {
-        Asked asked = new Asked();
+        ProcessSignals asked = new ProcessSignals();
         asked.terminate();
         assertFalse(asked.toEnd(() -> done.add("end")), "the door would open in a process that ends");
     }
@@ -34,11 +34,11 @@
     @Test
     public void anEndAskedForLaterIsDoneUnlessTheStartFailed() {
         done.clear();
-        Asked asked = new Asked();
+        ProcessSignals asked = new ProcessSignals();
         assertTrue(asked.toEnd(() -> done.add("end")));
         asked.terminate();
         assertEquals(done, List.of("end"));
-        Asked failed = new Asked();
+        ProcessSignals failed = new ProcessSignals();
         failed.toEnd(() -> done.add("end of a relay that never began"));
         failed.toEnd(null);
         failed.terminate();
