--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -4,10 +4,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import yewpath.Egress;
 import yewpath.Logic;
@@ -48,14 +46,9 @@
         "cancelled",
         "moot", "stale"};
 
-    private static final long MILLISECOND = 1_000;
-    private static final long WRITE_AGAIN_AFTER = 50 * MILLISECOND;
-    /** Writing a large log in vain leaves most of the time for other work. */
-    private static final long PAUSE_PER_ATTEMPT = 10;
-    private static final long FOLDER_CHECK_EVERY = 100 * MILLISECOND;
-
     private final Loop loop;
     private final Ledger ledger;
+    private final LedgerWriter ledgerWriter;
     private final Boot boot;
     private final Logic logic;
     private final Delivery delivery;
@@ -74,9 +67,6 @@
     private final List<HeldMessage> taken = new ArrayList<>();
     private final List<Runnable> acts = new ArrayList<>();
     private final Map<Integer, Sending> joining = new HashMap<>();
-    /** Ends that are not told yet, since they could not be written down. */
-    private final Set<Entry> unwrittenEnds = new LinkedHashSet<>();
-    private long writeAgainAt;
     private long rounds;
     private long takenEver;
     private long fulfilledEver;
@@ -99,8 +89,9 @@
         tellsPause = settings.tellsPause;
         envelopes = new HeldMessages(settings.settleAfterDoubt);
         closing = new Shutdown(loop, limits);
-        delivery = new Delivery(loop, limits, boot.reportFields, this::flush);
         notices = new Notices(loop, limits, config.discovery, this::told);
+        ledgerWriter = new LedgerWriter(loop, ledger, notices::add);
+        delivery = new Delivery(loop, limits, boot.reportFields, ledgerWriter::flush);
         loop.eachRound(this::round);
         logic = new Logic(settings, config.seed, this, loop.now());
         endpoints = new Endpoints(boot, logic, delivery);
@@ -112,7 +103,6 @@
         ledger.live().forEach(this::restore);
         listBy = settings.listAsked ? 0 : loop.now() + limits.connectWithin();
         loop.after(limits.connectWithin(), loop::ask);
-        loop.after(FOLDER_CHECK_EVERY, this::checkFolder);
         loop.ask();
     }
 
@@ -170,7 +160,7 @@
         boolean maySend = closing.mayShoot(now) && !listIsOld(now) && ledger.isWritable();
         Loop.safely(() -> logic.turn(maySend));
         joining.clear();
-        if (!flush()) {
+        if (!ledgerWriter.flush()) {
             refuseTaken();
         }
         answerClients();
@@ -178,28 +168,7 @@
             Loop.safely(act);
         }
         acts.clear();
-        flush();
-    }
-
-    /** Whether all records are written; while the folder fails it is tried again from time to time only. */
-    private boolean flush() {
-        boolean failedBefore = !ledger.isWritable();
-        if (failedBefore && loop.now() < writeAgainAt) {
-            return false;
-        }
-        long begun = loop.now();
-        if (ledger.flush()) {
-            if (failedBefore) {
-                unwrittenEnds.forEach(notices::add);
-                unwrittenEnds.clear();
-                loop.ask();
-            }
-            return true;
-        }
-        long pause = Math.max(WRITE_AGAIN_AFTER, PAUSE_PER_ATTEMPT * (loop.now() - begun));
-        writeAgainAt = loop.now() + pause;
-        loop.after(pause, loop::ask);
-        return false;
+        ledgerWriter.flush();
     }
 
     /** What could not be written down is not taken on. */
@@ -216,14 +185,6 @@
         taken.clear();
     }
 
-    private void checkFolder() {
-        ledger.checkPlace();
-        if (!ledger.isWritable()) {
-            loop.ask();
-        }
-        loop.after(FOLDER_CHECK_EVERY, this::checkFolder);
-    }
-
     // ---- Intake
 
     @Override
@@ -548,24 +509,11 @@
         }
     }
 
-    /**
-     * An end that is not written down could be forgotten by a restart, and the envelope tried after its end was told; once
-     * its time is up nobody tries it any more.
-     */
     private void owe(Entry entry) {
         if (isOrdered(entry)) {
             keyOrder.begin(entry.key, entry);
         }
-        if (ledger.isWritable()) {
-            notices.add(entry);
-            return;
-        }
-        unwrittenEnds.add(entry);
-        loop.after(entry.expiry - loop.now(), () -> {
-            if (unwrittenEnds.remove(entry)) {
-                notices.add(entry);
-            }
-        });
+        ledgerWriter.tellOnceWritten(entry);
     }
 
     private void told(Entry entry) {
@@ -603,7 +551,7 @@
 
     /** The last words, once closing is done. */
     void closed() {
-        flush();
+        ledgerWriter.flush();
         Log.tell(Event.RELAY_CLOSED, ledger.size(), delivery.callsOut());
     }
 }
