A shutdown leaves a log that the version before can take up

What operators would have seen: after a return to the version before, messages written in batches are passed over (its reader skips records that it does not know). Found on reading docs/migration.md against the new log.

--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -172,6 +172,13 @@
         return writable;
     }
 
+    /** Leaves a file without batches, which earlier versions of the program can take up. */
+    public void compact() {
+        if (!closed) {
+            rewrite();
+        }
+    }
+
     private void appendPending() {
         try {
             file.append(Records.batch(pending.stream().map(Pending::bytes).toList()));
--- a/relay/src/main/java/yewpath/ledger/Records.java
+++ b/relay/src/main/java/yewpath/ledger/Records.java
@@ -17,7 +17,7 @@
 
 /** How records lie in the file: length, checksum, type, envelope's number, fields. */
 final class Records {
-    private static final int FRAME = 8;
+    static final int FRAME = 8;
     private static final int LEAST = 9;
     /** A length above this is none that was written. */
     static final int LONGEST = (int) Math.min(16 << 20, Runtime.getRuntime().maxMemory() / 8);
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -551,7 +551,7 @@
 
     /** The last words, once closing is done. */
     void closed() {
-        ledgerWriter.flush();
+        ledger.compact();
         Log.tell(Event.RELAY_CLOSED, ledger.size(), delivery.callsOut());
     }
 }
