--- a/relay/src/main/java/yewpath/http/Parser.java
+++ b/relay/src/main/java/yewpath/http/Parser.java
@@ -16,7 +16,8 @@
         CHUNK_END,
         TRAILERS,
         TO_END,
-        WHOLE }
+        WHOLE
+    }
 
     private final boolean requests;
     private final int headMost;
--- a/standins/src/main/java/yewpath/standins/referee/Accounts.java
+++ b/standins/src/main/java/yewpath/standins/referee/Accounts.java
@@ -16,14 +16,16 @@
     public enum Kind {
         REPEATABLE,
         TAGGED,
-        ONCE_ONLY }
+        ONCE_ONLY
+    }
 
     /** How an envelope stands. */
     public enum End {
         OPEN,
         FULFILLED,
         DEFERRED,
-        ABORTED }
+        ABORTED
+    }
 
     /** One envelope. */
     public static final class Account {
