--- a/review/standins/DrainAfterRestart.java
+++ b/review/standins/DrainAfterRestart.java
@@ -52,8 +52,7 @@
         relay.start();
         Rig.sleep(8000 - (long) (rig.millis() - startedMillis));
         if (platform.silent) {
-            platform.silent = false;
-            rig.log("discovery: up again");
+            platform.resume();
         }
         Rig.sleep(6000);
         String broken = null;
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -310,6 +310,8 @@
         final Map<String, Double> outcomeMillis = new ConcurrentHashMap<>();
         /** While discovery is down, the agent accepts connections and says nothing; notices are answered. */
         volatile boolean silent;
+        /** Requests made while discovery was down that the relay has given up. */
+        volatile int requestsGivenUp;
         private final ServerSocket listener = new ServerSocket(0, 512, loopback());
         private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
         private volatile int version = 1;
@@ -365,6 +367,22 @@
             }
         }
 
+        /** Waits for the socket's timeout; returns whether the peer has closed the connection. */
+        private static boolean hasEnded(InputStream in) throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            }
+        }
+
+        /** Discovery is up again: open requests are answered, and open watches get the list. */
+        void resume() {
+            silent = false;
+            log("discovery: up again");
+            watches.forEach(watch -> writeChunk(watch, list() + "\n"));
+        }
+
         private void serve(Socket socket) throws IOException {
             socket.setTcpNoDelay(true);
             InputStream in = socket.getInputStream();
@@ -383,9 +401,16 @@
                 if (silent) {
                     log("discovery: asked while it is down (%s)", request.startLine);
                 }
+                socket.setSoTimeout(2);
                 while (silent) {
-                    sleep(5);
+                    if (hasEnded(in)) {
+                        log("discovery: the relay has given up that request");
+                        requestsGivenUp++;
+                        socket.close();
+                        return;
+                    }
                 }
+                socket.setSoTimeout(0);
                 if (request.startLine.contains("follow=1")) {
                     out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                         .getBytes(StandardCharsets.ISO_8859_1));
@@ -492,11 +517,16 @@
     /** Hands in one message on a new connection; returns the status, or 0 after 400 ms without an answer. */
     int submit(Relay relay, String messageClass, String id, int destination, long timeoutMillis)
         throws IOException {
+        return submit(relay, messageClass, id, destination, timeoutMillis, "body of " + id, "");
+    }
+
+    int submit(Relay relay, String messageClass, String id, int destination, long timeoutMillis, String body,
+        String extraHeaders) throws IOException {
         try (Socket socket = new Socket(loopback(), relay.port)) {
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(400);
             socket.getOutputStream().write(
-                submission(messageClass, id, destination, timeoutMillis, "body of " + id, ""));
+                submission(messageClass, id, destination, timeoutMillis, body, extraHeaders));
             Http answer = Http.read(socket.getInputStream());
             int status = answer == null ? 0 : answer.status();
             log("client: %s (%s, destination %d, %d ms): %d", id, messageClass, destination, timeoutMillis,
