--- a/review/standins/RepeatedId.java
+++ b/review/standins/RepeatedId.java
@@ -35,8 +35,8 @@
             int round = Integer.parseInt(call.id.substring(6));
             boolean isFirst = arrived[round].getCount() > 0;
             arrived[round].countDown();
-            // The message runs for 250 ms; its answer is written once the bad client has sent all its bytes.
-            Rig.sleep(250);
+            // The message runs for 210 ms at least; its answer is written once the bad client has sent all its bytes.
+            Rig.sleep(210);
             if (isFirst) {
                 sent[round].await(10, TimeUnit.SECONDS);
             }
@@ -55,7 +55,7 @@
             Rig.check(rig.submit(relay, "order", id, 7, 28_000) == 202, "a message is not taken on");
             Rig.check(arrived[round].await(5, TimeUnit.SECONDS), "the message does not arrive");
             if (rig.trouble) {
-                Rig.sleep(200);
+                Rig.sleep(230);
                 badClient(rig, relay, id, sent[round]);
             } else {
                 sent[round].countDown();
