Review case 2: after a restart messages go to an address of another destination

Cause: a new process uses the list of its configuration after the connect timeout if discovery has not answered, though what the agent has counts as told.

--- a/review/standins/DrainAfterRestart.java
+++ b/review/standins/GoneAfterRestart.java
@@ -1,19 +1,21 @@
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * A relay is killed while it holds messages. Before it is started again, discovery learns that an endpoint
- * drains, and goes down: the agent is silent. The new process sends to that endpoint by its old list.
+ * A relay is killed while it holds messages. Before it is started again, the agent is told that an endpoint is
+ * gone and that its address belongs to an endpoint of another destination; then discovery goes down and the
+ * agent is silent. The new process sends to that address by its old list.
  */
-public final class DrainAfterRestart {
+public final class GoneAfterRestart {
     /** The grace of the site, and the slack of the protocol page. */
     private static final double GRACE_MILLIS = 250 + 50;
     private static final int MESSAGES = 12;
 
-    private DrainAfterRestart() {}
+    private GoneAfterRestart() {}
 
     public static void main(String[] args) throws Exception {
-        Rig.main(args, DrainAfterRestart::run);
+        Rig.main(args, GoneAfterRestart::run);
     }
 
     private static String run(Rig rig) throws Exception {
@@ -22,10 +24,18 @@
             Rig.sleep(700);
             call.answer(200, "", "ok " + call.id + " " + rig.millis());
         };
-        Rig.Endpoint first = rig.new Endpoint("s-1", slow);
+        AtomicBoolean replaced = new AtomicBoolean();
+        Rig.Endpoint first = rig.new Endpoint("s-1", call -> {
+            if (replaced.get()) {
+                // Now the endpoint s-9 of destination 8, which knows no such message.
+                call.answer(400, "", "");
+            } else {
+                slow.serve(call);
+            }
+        });
         Rig.Endpoint second = rig.new Endpoint("s-2", slow);
-        Rig.Listed draining = new Rig.Listed("s-1", first.address(), 7, "plain");
-        platform.servers.add(draining);
+        Rig.Listed gone = new Rig.Listed("s-1", first.address(), 7, "plain");
+        platform.servers.add(gone);
         platform.servers.add(new Rig.Listed("s-2", second.address(), 7, "plain"));
         Rig.Relay relay = rig.new Relay("n1", platform, Settings.of(platform.list(), "pushed", 8, 272));
         relay.start();
@@ -41,7 +51,11 @@
         relay.kill();
         Rig.sleep(200);
         // The agent has this from now on; what the relay held last, "known" in its file, is older.
-        platform.change(draining, "draining");
+        platform.servers.add(new Rig.Listed("s-9", first.address(), 8, "plain"));
+        replaced.set(true);
+        platform.change(gone, "removed");
+        platform.servers.remove(gone);
+        rig.log("discovery: s-9 of destination 8 is up at the address of s-1");
         Rig.sleep(100);
         if (rig.trouble) {
             platform.silent = true;
@@ -59,9 +73,10 @@
         for (Rig.Call call : first.calls) {
             double late = call.atMillis - startedMillis;
             if (late > GRACE_MILLIS) {
-                broken = String.format("%s was sent to s-1, which drains, %.0f ms after the new process was started",
-                    call.id, late);
-                rig.log(broken);
+                broken = String.format("%s of destination 7 was sent to the address of s-1, which is gone, %.0f ms"
+                    + " after the new process was started", call.id, late);
+                rig.log("%s; it is s-9 of destination 8; the notice says %s", broken,
+                    platform.outcomes.get(call.id));
             }
         }
         return broken;
