A repeated id of a message that has ended is not accepted as a new message

Cause: an id was known only until its message ended (MessageTable). A request that was sent while the message was open and is read after its end was accepted as new. Change: the ledger knows ended messages for 60 s (FinishedMessages), in its records too, so that a restart forgets none; a repeat gets 202, that of a rejected one 503. envelope.repeated logs it. Why this works: whatever the order of reading, an id that was confirmed once is looked up before a message is created.

--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -46,9 +46,14 @@
         "id", "shots", "in_doubt"),
     MESSAGE_REFUSED("envelope.refused", Level.DEBUG,
         "The message was not accepted; why is closing (shutdown), disk (the state folder can't be "
-            + "written), hold (too many open messages), ledger (no space left for live messages) or "
-            + "unlisted (no endpoint list contains its destination).",
+            + "written), hold (too many open messages), ledger (no space left for live messages), "
+            + "unlisted (no endpoint list contains its destination) or repeated (a message with this id "
+            + "was handed back before).",
         "id", "why"),
+    MESSAGE_REPEATED("envelope.repeated", Level.DEBUG,
+        "A request repeated the id of an accepted message, which is not accepted again; ended tells "
+            + "whether that message has ended.",
+        "id", "ended"),
     ATTEMPT_STARTED("envelope.shot", Level.DEBUG,
         "The first byte of an attempt is about to be sent to an endpoint.",
         "id", "shot", "endpoint"),
--- /dev/null
+++ b/relay/src/main/java/yewpath/ledger/FinishedMessages.java
@@ -0,0 +1,100 @@
+package yewpath.ledger;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The messages that ended recently, by their ids. A request that repeats the id of an open message may be
+ * read only after that message has ended, and must not be accepted as a new message then.
+ */
+public final class FinishedMessages {
+    /**
+     * A message that has ended.
+     *
+     * @param id the request id that the client gave the message
+     * @param finishedMicros when it ended, in Unix microseconds by the clock of this process
+     * @param rejected whether it was rejected, so that the client may submit it again under another id
+     */
+    public record FinishedMessage(String id, long finishedMicros, boolean rejected) {
+        private int heapBytes() {
+            return HEAP_BYTES_PER_MESSAGE + id.length();
+        }
+    }
+
+    /** Longer than a request can wait in a connection before it is read. */
+    static final long RETENTION_MICROS = 60_000_000;
+    /** The size of a message in the heap without the characters of its id. */
+    static final int HEAP_BYTES_PER_MESSAGE = 160;
+
+    private final Map<String, FinishedMessage> messages = new LinkedHashMap<>();
+    private final long maxHeapBytes;
+    private long heapBytes;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param maxHeapBytes the size beyond which the messages that ended first are dropped before their time
+     */
+    FinishedMessages(long maxHeapBytes) {
+        this.maxHeapBytes = maxHeapBytes;
+    }
+
+    /** Returns the message that ended recently under this id, or null. */
+    public FinishedMessage find(String id, long nowMicros) {
+        FinishedMessage message = messages.get(id);
+        return message == null || isExpired(message, nowMicros) ? null : message;
+    }
+
+    /** Adds a message; one that is known under its id already stays as it is. */
+    void add(FinishedMessage message) {
+        if (messages.putIfAbsent(message.id, message) == null) {
+            heapBytes += message.heapBytes();
+            removeOldest(message.finishedMicros);
+        }
+    }
+
+    private void removeOldest(long nowMicros) {
+        Iterator<FinishedMessage> oldestFirst = messages.values().iterator();
+        while (oldestFirst.hasNext()) {
+            FinishedMessage oldest = oldestFirst.next();
+            if (heapBytes <= maxHeapBytes && !isExpired(oldest, nowMicros)) {
+                return;
+            }
+            oldestFirst.remove();
+            heapBytes -= oldest.heapBytes();
+        }
+    }
+
+    private static boolean isExpired(FinishedMessage message, long nowMicros) {
+        return message.finishedMicros + RETENTION_MICROS <= nowMicros;
+    }
+
+    /** Converts the times of messages that another process added, by adding the difference of the clocks. */
+    void shiftTimes(long offsetMicros) {
+        messages.replaceAll((id, message) -> new FinishedMessage(id, message.finishedMicros + offsetMicros,
+            message.rejected));
+    }
+
+    /**
+     * Returns the records of the messages that ended last, in the order of their ends.
+     *
+     * @param maxBytes the limit on the size of all records together
+     */
+    Collection<byte[]> records(long maxBytes) {
+        ArrayDeque<byte[]> records = new ArrayDeque<>();
+        FinishedMessage[] ordered = messages.values().toArray(FinishedMessage[]::new);
+        long bytes = 0;
+        for (int i = ordered.length - 1; i >= 0; i--) {
+            byte[] record = RecordFormat.finished(ordered[i]);
+            bytes += record.length;
+            if (bytes > maxBytes) {
+                break;
+            }
+            records.addFirst(record);
+        }
+        return records;
+    }
+}
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -8,9 +8,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.ledger.FinishedMessages.FinishedMessage;
 import yewpath.loop.ClockReading;
 
 /**
@@ -36,6 +38,11 @@
     static final byte TYPE_CLOCK = 6;
     /** Several records that are replayed together or not at all. */
     static final byte TYPE_BATCH = 7;
+    /** A message that ended before the file was rewritten. */
+    static final byte TYPE_FINISHED = 8;
+
+    /** The part of the heap that the ids of finished messages may take. */
+    private static final int HEAP_PART_FOR_FINISHED_MESSAGES = 16;
 
     /** A record that is not written yet, and the number of the entry that it belongs to. */
     private record PendingRecord(long number, byte[] bytes) {}
@@ -48,6 +55,8 @@
     /** The clock that the times of all entries refer to. */
     private ClockReading clock;
     private final Map<Long, LedgerEntry> entries = new LinkedHashMap<>();
+    private final FinishedMessages finishedMessages = new FinishedMessages(
+        Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_FINISHED_MESSAGES);
     private final List<PendingRecord> pending = new ArrayList<>();
     private int pendingBytes;
     private boolean writable = true;
@@ -84,6 +93,11 @@
         return new ArrayList<>(entries.values());
     }
 
+    /** Returns the messages that ended recently, also those that ended in an earlier process. */
+    public FinishedMessages finishedMessages() {
+        return finishedMessages;
+    }
+
     /** Returns the number of live entries. */
     public int size() {
         return entries.size();
@@ -144,10 +158,13 @@
      * Records that the message ended without delivery and that the platform has to be notified; drops its
      * body.
      */
-    public void recordNoticeOwed(LedgerEntry entry, boolean rejected, long retryAfterMicros) {
+    public void recordNoticeOwed(LedgerEntry entry, boolean rejected, long retryAfterMicros,
+        long nowMicros) {
         entry.noticeOwed = true;
         entry.rejected = rejected;
         entry.retryAfterMicros = retryAfterMicros;
+        entry.finishedMicros = nowMicros;
+        finishedMessages.add(new FinishedMessage(entry.id, nowMicros, rejected));
         dropBody(entry);
         append(entry, RecordFormat.noticeOwed(entry));
     }
@@ -170,8 +187,21 @@
     }
 
     /**
-     * Removes an entry and records that nothing is left to do for its message; does nothing if it is not
-     * live.
+     * Removes an entry and records that its message is delivered, so that nothing is left to do; does nothing
+     * if it is not live.
+     */
+    public void recordDelivered(LedgerEntry entry, long nowMicros) {
+        if (remove(entry)) {
+            entry.finishedMicros = nowMicros;
+            finishedMessages.add(new FinishedMessage(entry.id, nowMicros, false));
+            append(entry, RecordFormat.completed(entry));
+        }
+    }
+
+    /**
+     * Removes an entry and records that nothing is left to do: the platform has acknowledged the notice, or
+     * the message was never confirmed to its client, which may submit it again under the same id. Does
+     * nothing if the entry is not live.
      */
     public void recordCompleted(LedgerEntry entry) {
         if (remove(entry)) {
@@ -237,8 +267,11 @@
     private void rewrite() {
         long startNanos = System.nanoTime();
         long bytesBefore = file.length();
-        Stream<byte[]> records = Stream.concat(Stream.of(RecordFormat.clock(clock)),
-            entries.values().stream().map(RecordFormat::entireEntry));
+        // Half of the room that live entries leave, so that the file can grow before it is rewritten again.
+        long maxFinishedBytes = (compactAtBytes - maxLiveBytes) / 2;
+        Stream<byte[]> records = Stream.of(Stream.of(RecordFormat.clock(clock)),
+            finishedMessages.records(maxFinishedBytes).stream(),
+            entries.values().stream().map(RecordFormat::entireEntry)).flatMap(Function.identity());
         try {
             file.replace(records::iterator);
             if (bytesBefore > 0) {
@@ -296,6 +329,7 @@
             entry.shiftTimes(offsetMicros);
             entry.endAttemptAsUncertain();
         }
+        finishedMessages.shiftTimes(offsetMicros);
         clock = newClock;
     }
 
@@ -306,6 +340,10 @@
             adoptEntries(RecordFormat.readClock(fields));
             return;
         }
+        if (type == TYPE_FINISHED) {
+            finishedMessages.add(RecordFormat.readFinished(fields));
+            return;
+        }
         lastNumber = Math.max(lastNumber, number);
         if (type == TYPE_ACCEPTED) {
             LedgerEntry accepted = RecordFormat.readAccepted(number, fields);
@@ -325,10 +363,22 @@
             }
             case TYPE_NOTICE_OWED -> {
                 RecordFormat.readNoticeOwed(entry, fields);
+                addFinished(entry);
                 dropBody(entry);
             }
-            case TYPE_COMPLETED -> remove(entry);
+            case TYPE_COMPLETED -> {
+                RecordFormat.readCompleted(entry, fields);
+                addFinished(entry);
+                remove(entry);
+            }
             default -> throw new IllegalArgumentException("unknown ledger record type");
         }
     }
+
+    /** Adds the message of a replayed entry to the finished ones, if its record tells when it ended. */
+    private void addFinished(LedgerEntry entry) {
+        if (entry.finishedMicros >= 0) {
+            finishedMessages.add(new FinishedMessage(entry.id, entry.finishedMicros, entry.rejected));
+        }
+    }
 }
--- a/relay/src/main/java/yewpath/ledger/LedgerEntry.java
+++ b/relay/src/main/java/yewpath/ledger/LedgerEntry.java
@@ -49,6 +49,8 @@
      * given.
      */
     public long retryAfterMicros;
+    /** When the message was delivered or ended without delivery; -1 while it is open, or if unknown. */
+    long finishedMicros = -1;
 
     /** Creates an entry with no attempt made and no notice owed. */
     public LedgerEntry(long number, String id, String messageClass, String tenant, String key,
@@ -69,6 +71,7 @@
         deadlineMicros += offsetMicros;
         uncertainSinceMicros += uncertainSinceMicros >= 0 ? offsetMicros : 0;
         attemptStartedMicros += attemptStartedMicros >= 0 ? offsetMicros : 0;
+        finishedMicros += finishedMicros >= 0 ? offsetMicros : 0;
     }
 
     /** Ends the attempt in progress, if there is one, as one that the endpoint may have processed. */
--- a/relay/src/main/java/yewpath/ledger/RecordFormat.java
+++ b/relay/src/main/java/yewpath/ledger/RecordFormat.java
@@ -13,6 +13,7 @@
 import java.util.zip.CRC32;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.ledger.FinishedMessages.FinishedMessage;
 import yewpath.loop.ClockReading;
 
 /**
@@ -179,6 +180,7 @@
         return record(Ledger.TYPE_NOTICE_OWED, entry.number, out -> {
             out.writeBoolean(entry.rejected);
             out.writeLong(entry.retryAfterMicros);
+            out.writeLong(entry.finishedMicros);
         });
     }
 
@@ -186,6 +188,7 @@
         entry.noticeOwed = true;
         entry.rejected = in.get() == 1;
         entry.retryAfterMicros = in.getLong();
+        readFinishedMicros(entry, in);
     }
 
     static byte[] clock(ClockReading reading) {
@@ -202,7 +205,30 @@
     }
 
     static byte[] completed(LedgerEntry entry) {
-        return record(Ledger.TYPE_COMPLETED, entry.number, out -> {});
+        return record(Ledger.TYPE_COMPLETED, entry.number, out -> out.writeLong(entry.finishedMicros));
+    }
+
+    static void readCompleted(LedgerEntry entry, ByteBuffer in) {
+        readFinishedMicros(entry, in);
+    }
+
+    /** Reads the last field of a record, which those of versions that did not record this time lack. */
+    private static void readFinishedMicros(LedgerEntry entry, ByteBuffer in) {
+        entry.finishedMicros = in.hasRemaining() ? in.getLong() : -1;
+    }
+
+    static byte[] finished(FinishedMessage message) {
+        return record(Ledger.TYPE_FINISHED, 0, out -> {
+            writeString(out, message.id());
+            out.writeLong(message.finishedMicros());
+            out.writeBoolean(message.rejected());
+        });
+    }
+
+    static FinishedMessage readFinished(ByteBuffer in) {
+        String id = readString(in);
+        long finishedMicros = in.getLong();
+        return new FinishedMessage(id, finishedMicros, in.get() == 1);
     }
 
     /** Encodes the whole state of an entry in as few records as possible, one after the other. */
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -19,6 +19,7 @@
 import yewpath.intake.ClientListener;
 import yewpath.intake.MessageIntake;
 import yewpath.json.Json;
+import yewpath.ledger.FinishedMessages.FinishedMessage;
 import yewpath.ledger.Ledger;
 import yewpath.ledger.LedgerEntry;
 import yewpath.loop.EventLoop;
@@ -270,9 +271,7 @@
         if (reply.isClientGone()) {
             return;
         }
-        if (messages.contains(id)) {
-            // The message was accepted already under this id; it still gets exactly one outcome.
-            reply.send(202, 0);
+        if (answerRepeat(id, reply)) {
             return;
         }
         LedgerEntry entry = ledger.createEntry(id, messageClass, tenant, affinityKey, idempotencyKey,
@@ -301,6 +300,29 @@
         reportToPolicy(message, platformSettings.messageClasses.find(messageClass), 0);
     }
 
+    /**
+     * Answers a request whose message was accepted before under the same id: an open message still gets
+     * exactly one outcome, and a finished one is not attempted again. The client of a rejected message may
+     * submit it under another id.
+     *
+     * @return false if no such message is known
+     */
+    private boolean answerRepeat(String id, Reply reply) {
+        FinishedMessage finished = ledger.finishedMessages().find(id, loop.nowMicros());
+        if (finished == null && !messages.contains(id)) {
+            return false;
+        }
+        if (finished != null && finished.rejected()) {
+            refuse(id, "repeated", reply);
+            return true;
+        }
+        if (Log.isEnabled(Event.MESSAGE_REPEATED)) {
+            Log.log(Event.MESSAGE_REPEATED, id, finished != null);
+        }
+        reply.send(202, 0);
+        return true;
+    }
+
     /**
      * Answers 503 to a message that is not accepted.
      *
@@ -486,7 +508,7 @@
             double remainingShare, double reportedLimit) {
             if (finished && !message.ended) {
                 deliveredCount += outcome == DELIVERED ? 1 : 0;
-                ledger.recordCompleted(message.entry);
+                ledger.recordDelivered(message.entry, loop.nowMicros());
             } else if (!message.ended) {
                 ledger.recordAttemptEnded(message.entry,
                     outcome == OVERLOADED || outcome == UNREACHABLE || outcome == NOT_EXECUTED);
@@ -577,7 +599,7 @@
             ledger.recordCompleted(message.entry);
             actions.add(() -> reply.send(rejected ? 503 : 500, retryAfterMicros));
         } else {
-            ledger.recordNoticeOwed(message.entry, rejected, retryAfterMicros);
+            ledger.recordNoticeOwed(message.entry, rejected, retryAfterMicros, loop.nowMicros());
             actions.add(() -> queueNotice(message.entry));
         }
     }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -532,7 +532,7 @@
         long lengthWithFirst = Files.size(folder.resolve("ledger"));
         ledger.recordAccepted(second);
         ledger.recordAttempt(first, 50, "z");
-        ledger.recordNoticeOwed(second, true, 1234);
+        ledger.recordNoticeOwed(second, true, 1234, 60);
         ledger.flush();
         byte[] complete = Files.readAllBytes(folder.resolve("ledger"));
         for (int length = 0; length <= complete.length; length++) {
