A key pauses from the end of the call in which its earlier message expired

Cause: the policy counts the pause from the end of the attempt; KeyOrder holds the next message until the end of the call and then sent it at once. Nothing counted the pause from the end of the call. Evidence: the log on: attempt of a-1 ends 11.506, the policy sends b-1 at 11.611, the call ends 13.586, b-1 goes out 13.588. Change: the block of a key whose message ended before its call lasts for the pause after the call. A kill ends calls too, so after a restart with any message in the ledger untried messages of all keys wait for the pause. Why this works: the pause starts where the last possible execution by the relay's call ends, whichever part ended the message.

--- a/relay/src/main/java/yewpath/ledger/FinishedMessages.java
+++ b/relay/src/main/java/yewpath/ledger/FinishedMessages.java
@@ -48,6 +48,10 @@
         return message == null || isExpired(message, nowMicros) ? null : message;
     }
 
+    boolean isEmpty() {
+        return messages.isEmpty();
+    }
+
     /** Adds a message; one that is known under its id already stays as it is. */
     void add(FinishedMessage message) {
         if (messages.putIfAbsent(message.id, message) == null) {
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -98,6 +98,11 @@
         return finishedMessages;
     }
 
+    /** Whether the ledger knows any message, open or finished. */
+    public boolean hasHistory() {
+        return !entries.isEmpty() || !finishedMessages.isEmpty();
+    }
+
     /** Returns the number of live entries. */
     public int size() {
         return entries.size();
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -66,6 +66,13 @@
     private final int unknownMessageClass;
     /** Whether responses to clients may contain Retry-After. */
     private final boolean reportsRetryAfter;
+    /** How long a key pauses after an attempt of unknown outcome. */
+    private final long settleAfterUncertainMicros;
+    /**
+     * Until when every key pauses, because the calls of an earlier process may have carried messages of which
+     * the ledger knows nothing any more.
+     */
+    private final long keysPausedUntilMicros;
     /** When the configured endpoint list is used even if discovery has not answered. */
     private final long listDeadlineMicros;
     /** Messages accepted in this round; their clients wait for the response. */
@@ -102,7 +109,9 @@
         settings.maxConcurrentCalls = Math.min(settings.maxConcurrentCalls, limits.maxEndpointConnections());
         maxOpenMessages = settings.maxOpenMessages > 0 ? settings.maxOpenMessages : Integer.MAX_VALUE;
         reportsRetryAfter = settings.reportsRetryAfter;
-        messages = new MessageTable(settings.settleAfterUncertainMicros);
+        settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
+        keysPausedUntilMicros = ledger.hasHistory() ? loop.nowMicros() + settleAfterUncertainMicros : 0;
+        messages = new MessageTable(settleAfterUncertainMicros);
         shutdown = new Shutdown(loop, limits);
         notices = new NoticeSender(loop, limits, config.discoveryAddress, this::onNoticeAcknowledged);
         ledgerWriter = new LedgerWriter(loop, ledger, notices::add);
@@ -403,7 +412,7 @@
             if (message.withdrawn) {
                 message.attempt.onEnd(NOT_EXECUTED, 0, true, Double.NaN, Double.NaN);
                 message.attempt.onCallEnd();
-            } else if (isOrdered(message.entry) && keyOrder.isBlocked(message.entry.key)) {
+            } else if (mustWaitForKey(message)) {
                 Call waitingCall = delivery.prepareCall(pendingCall.endpoint, List.of(message.attempt),
                     pendingCall.deadlineMicros);
                 message.call = waitingCall;
@@ -419,6 +428,19 @@
         sentMessages.forEach(message -> message.call = call);
     }
 
+    /** Whether an ordered message has to wait until its key is unblocked. */
+    private boolean mustWaitForKey(TrackedMessage message) {
+        if (!isOrdered(message.entry)) {
+            return false;
+        }
+        long pauseMicros = keysPausedUntilMicros - loop.nowMicros();
+        if (pauseMicros > 0 && message.entry.attempts == 0) {
+            keyOrder.block(message.entry.key, message);
+            loop.schedule(pauseMicros, () -> keyOrder.unblock(message));
+        }
+        return keyOrder.isBlocked(message.entry.key);
+    }
+
     /**
      * Whether the messages with the key of this one are delivered in order. A class that is no longer
      * configured may have been ordered.
@@ -494,9 +516,17 @@
                 remainingShare, reportedLimit));
         }
 
+        /**
+         * Ends the block of the key. If the message has ended before, it expired while the call went on, and
+         * the endpoint may have executed it until now: the key pauses as after an attempt of unknown outcome.
+         */
         @Override
         public void onCallEnd() {
-            keyOrder.unblock(this);
+            if (message.ended && isOrdered(message.entry)) {
+                loop.schedule(settleAfterUncertainMicros, () -> keyOrder.unblock(this));
+            } else {
+                keyOrder.unblock(this);
+            }
         }
 
         /**
--- /dev/null
+++ b/relay/src/test/java/yewpath/KeyPauseTest.java
@@ -0,0 +1,115 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static yewpath.RelayFixture.CLOSE_CONNECTION;
+import static yewpath.RelayFixture.NO_RESPONSE;
+import static yewpath.RelayFixture.OK;
+import static yewpath.RelayFixture.waitUntil;
+
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** How long a key pauses after a call that one of its messages was part of and that ended without a response. */
+public final class KeyPauseTest extends RelayFixture.RelayTest {
+    private static final int PAUSE_MILLIS = 2_500;
+    /** The platform extends each time limit by this much. */
+    private static final int TOLERANCE_MILLIS = 50;
+
+    private final CountDownLatch[] mayEnd = new CountDownLatch[1];
+
+    @DataProvider
+    public Object[][] endsOfABatch() {
+        return new Object[][]{{CLOSE_CONNECTION}, {NO_RESPONSE}};
+    }
+
+    /**
+     * Guards against a key that pauses from the time when its message expired during a batch call, not from
+     * the end of that call, until which the endpoint may execute the message.
+     */
+    @Test(dataProvider = "endsOfABatch")
+    public void keyPausesAfterTheBatchOfAnExpiredMessage(String endOfBatch) throws Exception {
+        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(endOfBatch);
+        mayEnd[0].countDown();
+        waitUntil("the batch call ends", 10_000,
+            () -> endOfBatch.equals(CLOSE_CONNECTION) || !endpoint.requests.get(0).open);
+        long endedAtNanos = System.nanoTime();
+        assertPauseSince(endedAtNanos, endpoint);
+    }
+
+    /**
+     * Guards against a restart that ends the pause of a key: the batch call of the expired message ended with
+     * the killed process.
+     */
+    @Test
+    public void keyPausesAfterARestart() throws Exception {
+        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(NO_RESPONSE);
+        mayEnd[0].countDown();
+        fixture.kill();
+        long endedAtNanos = System.nanoTime();
+        fixture.start();
+        assertPauseSince(endedAtNanos, endpoint);
+    }
+
+    /**
+     * Sends a batch with one message of the key that expires during the call, and submits the next message of
+     * the key. The call waits for {@code mayEnd}, then ends in the given way.
+     */
+    private RelayFixture.StubServer sendBatchWithAnExpiringMessage(String endOfBatch) throws Exception {
+        mayEnd[0] = new CountDownLatch(1);
+        RelayFixture.StubServer endpoint = new RelayFixture.StubServer(request -> {
+            if (!isFirstBatch(request)) {
+                return OK;
+            }
+            awaitEnd();
+            return endOfBatch;
+        });
+        fixture.settleMillis = PAUSE_MILLIS;
+        fixture.listDrainingEndpoint(1);
+        fixture.start();
+        assertEquals(fixture.submit("other", "order", 1, 6_000), 202);
+        submitWithKey("ahead", 1_000);
+        submitWithKey("behind", 18_000);
+        fixture.listEndpoint("e1", endpoint.address(), 1);
+        fixture.publish(false, fixture.listEntry("e1", endpoint.address(), 1, "bundled", "up"));
+        waitUntil("both messages are sent in one call", 2_000, () -> endpoint.requests.size() == 1);
+        waitUntil("the first message of the key has expired", 3_000,
+            () -> fixture.hasOutcomeNotice("ahead", ""));
+        // Any pause that counts from the expiry is over after that.
+        RelayFixture.pause(PAUSE_MILLIS + 200);
+        assertEquals(endpoint.requests.size(), 1);
+        return endpoint;
+    }
+
+    private static boolean isFirstBatch(RelayFixture.ReceivedRequest request) {
+        return request.requestLine.contains("bulk") && request.body.contains("\"ahead\"");
+    }
+
+    private void awaitEnd() {
+        try {
+            mayEnd[0].await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submitWithKey(String id, int timeoutMillis) throws Exception {
+        String request = RelayFixture.messageRequest(id, "serial", 1, timeoutMillis, "x");
+        assertEquals(fixture.exchange(request.replaceFirst("\r\n", "\r\nAffinity-Key: doc\r\n")).status(),
+            202);
+    }
+
+    private void assertPauseSince(long endedAtNanos, RelayFixture.StubServer endpoint) throws Exception {
+        waitUntil("the next message of the key is sent", 8_000,
+            () -> endpoint.requests.stream().anyMatch(KeyPauseTest::carriesNextMessage));
+        long sentAtNanos = endpoint.requests.stream().filter(KeyPauseTest::carriesNextMessage).findFirst()
+            .orElseThrow().receivedAtNanos;
+        long pausedMillis = (sentAtNanos - endedAtNanos) / 1_000_000;
+        assertTrue(pausedMillis >= PAUSE_MILLIS - TOLERANCE_MILLIS, "paused for " + pausedMillis + " ms");
+    }
+
+    private static boolean carriesNextMessage(RelayFixture.ReceivedRequest request) {
+        return "behind".equals(request.id()) || request.body.contains("\"behind\"");
+    }
+}
--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -265,6 +265,8 @@
     /** How long endpoints recognize a repeat of a deduplicated message. */
     int deduplicationMillis = 6_000;
     int connectTimeoutMillis = 1_000;
+    /** How long an ordered key pauses after an attempt whose outcome is unknown. */
+    int settleMillis = 400;
     /** Names in the configuration and their replacements. */
     final Map<String, String> renamedConfigNames = new LinkedHashMap<>();
     /** The number of relays that the settings report. */
@@ -445,7 +447,8 @@
             + "\"max_open\":" + maxOpenMessages + ",\"try_limit\":8,\"connect_timeout_ms\":"
             + connectTimeoutMillis
             + ".0,\"conn_idle_ms\":2000.0},\"rules\":{"
-            + "\"cold_from\":0.2,\"cold_ms\":2000.0,\"fall_ms\":1000.0,\"fall_multiple\":2.0,\"settle_after_doubt_ms\":400.0},"
+            + "\"cold_from\":0.2,\"cold_ms\":2000.0,\"fall_ms\":1000.0,\"fall_multiple\":2.0,\"settle_after_doubt_ms\":"
+            + settleMillis + ".0},"
             + extraSettings
             + "\"request_classes\":[{\"name\":\"status\",\"repeat\":\"pure\",\"worth\":1.0,\"late_worth\":0.1,"
             + "\"on_time_ms\":1000.0,\"give_up_ms\":8000.0},{\"name\":\"order\",\"repeat\":\"side_effect\",\"worth\":1.0,"
