Nothing is sent until discovery has answered a new process

Cause: a new process waited for discovery for the connect timeout only, with discovery on request not at all, then used the list of its configuration. What the agent has counts as told from the first moment of a new process. Evidence: the log on: s-1 listed by the configuration at 23.193, started 23.276, shots to s-1 at 24.270, the first list from discovery at 30.352 without s-1. Why this works: no attempt can start before the process knows at least what the agent has. Test: RestartTest.nothingIsSentBeforeDiscoveryHasAnswered failed before in 4 of 4 (watch and on request, SIGKILL and SIGTERM), passes now. It replaces withoutDiscoveryTheStoredListIsUsed, which asked for attempts by the old list and so for a break of the rule; its concern, messages without an end, is kept: outcomes in time, delivery once discovery answers.

--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -73,8 +73,6 @@
      * the ledger knows nothing any more.
      */
     private final long keysPausedUntilMicros;
-    /** When the configured endpoint list is used even if discovery has not answered. */
-    private final long listDeadlineMicros;
     /** Messages accepted in this round; their clients wait for the response. */
     private final List<TrackedMessage> acceptedInRound = new ArrayList<>();
     /** Actions that the policy asked for in this round; run once the ledger is written. */
@@ -126,20 +124,24 @@
             discoveryClient.startWatch();
         }
         ledger.entries().forEach(this::restore);
-        listDeadlineMicros = settings.listOnRequest ? 0 : loop.nowMicros() + limits.connectTimeoutMicros();
-        loop.schedule(limits.connectTimeoutMicros(), loop::requestRound);
+        loop.schedule(limits.connectTimeoutMicros(), this::logMissingList);
         loop.requestRound();
     }
 
     /**
-     * Whether the endpoint list may be outdated, so that nothing may be sent. The list in the
-     * configuration is as old as the file. Guards against attempts to endpoints that began to drain while
-     * no process was running: messages restored from the ledger would be sent some milliseconds before the
-     * first list arrives from discovery. If discovery does not answer within the connect timeout, the
-     * configured list is used. If the list is only available on request, the policy requests it itself.
+     * Whether the endpoint list may be outdated, so that nothing may be sent. The list in the configuration
+     * is as old as the file, and discovery has told its agent of every change since then. Guards against
+     * attempts to endpoints that were drained or removed, or whose address another destination got, while no
+     * process was running. While discovery does not answer, messages are accepted and wait.
      */
-    private boolean isListOutdated(long nowMicros) {
-        return nowMicros < listDeadlineMicros && !discoveryClient.hasAnswered();
+    private boolean isListOutdated() {
+        return !discoveryClient.hasAnswered();
+    }
+
+    private void logMissingList() {
+        if (isListOutdated()) {
+            Log.log(Event.DIRECTORY_AWAITED, messages.openCount());
+        }
     }
 
     /**
@@ -197,7 +199,7 @@
         long nowMicros = loop.nowMicros();
         policy.setTime(nowMicros);
         loop.runQueuedEvents();
-        boolean maySend = shutdown.mayStartAttempts(nowMicros) && !isListOutdated(nowMicros)
+        boolean maySend = shutdown.mayStartAttempts(nowMicros) && !isListOutdated()
             && ledger.isWritable();
         EventLoop.runLoggingFailures(() -> policy.completeRound(maySend));
         openBatches.clear();
@@ -253,6 +255,7 @@
             out.writeNumberField("notices_owed", notices.unacknowledgedCount());
             out.writeNumberField("ledger_bytes", ledger.fileBytes());
             out.writeBooleanField("ledger_writable", ledger.isWritable());
+            out.writeBooleanField("endpoint_list_current", !isListOutdated());
             out.writeNumberField("rounds", roundCount);
             out.writeNumberField("taken", acceptedCount);
             out.writeNumberField("fulfilled", deliveredCount);
