The head of a watch does not count as discovery's first answer

A process sent by the list of its configuration though discovery had sent a head and no list. Cause: 0.3 s after the head of a watch without a body the client assumed that nothing had changed, and sending began. Evidence: WatchTest.headOfAWatchIsNoAnswer, a head and 2 s later a removal: failed before (one message sent to the removed endpoint), passes now. The policy is told of the living watch as before, so that it does not ask again.

--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Returns whether discovery has answered since this process started, and its answer was passed to the
-     * listener.
+     * Returns whether discovery has answered with a list, or with an empty line for a list without changes,
+     * since this process started, and its answer was passed to the listener.
      */
     public boolean hasAnswered() {
         return everAnswered;
@@ -135,11 +135,12 @@
 
         /**
          * Runs some time after the head. If nothing has changed, no object follows the head; if something
-         * has, the object may arrive separately from the head and in pieces.
+         * has, the object may arrive separately from the head and in pieces. Until an object or an empty line
+         * arrives it is unknown which is true, so the head alone does not count in {@link #hasAnswered}.
          */
         private void answerWithoutChanges() {
             if (!source.isClosed() && !values.isIncomplete()) {
-                answeredWithoutList();
+                reportEmptyList();
             }
         }
 
@@ -148,7 +149,7 @@
          * Guards against a caller that requests lists itself taking a watch on which nothing changes for an
          * unanswered request, and repeating it again and again.
          */
-        private void answeredWithoutList() {
+        private void reportEmptyList() {
             if (!answered) {
                 answered = true;
                 loop.enqueue(() -> {
@@ -156,7 +157,6 @@
                     listener.listEnded();
                 });
             }
-            markAnswered();
         }
 
         @Override
@@ -197,7 +197,8 @@
             restartSilenceTimer();
             // A watch that has lasted longer than the delay before it no longer counts as a repeated failure.
             backoffMicros = loop.nowMicros() - requestedAtMicros > backoffMicros ? 0 : backoffMicros;
-            answeredWithoutList();
+            reportEmptyList();
+            markAnswered();
         }
 
         private void objectReceived(byte[] bytes) {
--- a/relay/src/test/java/yewpath/WatchTest.java
+++ b/relay/src/test/java/yewpath/WatchTest.java
@@ -109,6 +109,25 @@
         assertEquals(drained.requests.size(), 1, "the message was sent by the old list");
     }
 
+    /**
+     * Guards against calls by an outdated list: the head of a watch tells nothing, and discovery may fall
+     * silent before its list.
+     */
+    @Test
+    public void headOfAWatchIsNoAnswer() throws Exception {
+        RelayFixture.StubServer removed = fixture.addEndpoint("e1", 1, "plain", request -> OK);
+        fixture.watchDelayMillis = 2_000;
+        fixture.initialWatchData = "{\"version\":2,\"full\":false,\"servers\":["
+            + fixture.listEntry("e1", removed.address(), 1, "plain", "removed") + "]}";
+        fixture.startProcess();
+        waitUntil("the relay is ready", 10_000, fixture::isReady);
+        assertEquals(fixture.submit("r1", "status", 1, 7900), 202);
+        waitUntil("the list is in effect", 6_000, () -> fixture
+            .exchange("GET /stats HTTP/1.1\r\n\r\n").body().contains("\"endpoint_list_current\":true"));
+        RelayFixture.pause(300);
+        assertEquals(removed.requests.size(), 0, "a message was sent before the list arrived");
+    }
+
     /**
      * Guards against needless requests in the mode on_request: an empty line counts as a response that
      * nothing has changed.
