The rewritten ledger with finished messages fits beside the old file again

With large open messages the old and the new file could exceed the disk limit together. Change: finished messages get no more than live entries leave of their limit; half of the room for later records stays the other bound.

--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -272,10 +272,8 @@
     private void rewrite() {
         long startNanos = System.nanoTime();
         long bytesBefore = file.length();
-        // Half of the room that live entries leave, so that the file can grow before it is rewritten again.
-        long maxFinishedBytes = (compactAtBytes - maxLiveBytes) / 2;
         Stream<byte[]> records = Stream.of(Stream.of(RecordFormat.clock(clock)),
-            finishedMessages.records(maxFinishedBytes).stream(),
+            finishedMessages.records(maxFinishedBytes()).stream(),
             entries.values().stream().map(RecordFormat::entireEntry)).flatMap(Function.identity());
         try {
             file.replace(records::iterator);
@@ -289,6 +287,15 @@
         }
     }
 
+    /**
+     * Returns how many bytes of a rewritten file finished messages may take: no more than live entries leave
+     * of their limit, because the old and the new file exist at the same time, and half of the room for later
+     * records, so that the file is not rewritten again soon.
+     */
+    private long maxFinishedBytes() {
+        return Math.min(maxLiveBytes - liveBytes, (compactAtBytes - maxLiveBytes) / 2);
+    }
+
     private void writeSucceeded() {
         pending.clear();
         pendingBytes = 0;
--- a/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
+++ b/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
@@ -83,4 +83,29 @@
         FinishedMessages known = open(folder, FIRST_CLOCK).finishedMessages();
         assertNotNull(known.find("message-number-4999", 6 * SECOND_MICROS));
     }
+
+    /**
+     * Guards against a rewritten file that does not fit beside the old one: live and finished messages
+     * together may only take the part of the disk that is meant for live ones.
+     */
+    @Test
+    public void rewrittenFileIsNoLargerThanTheLimitOfLiveEntries() throws IOException {
+        Ledger ledger = open(Files.createTempDirectory("finished"), FIRST_CLOCK);
+        for (int i = 0; i < 5_000; i++) {
+            ledger.recordDelivered(accept(ledger, "message-number-" + i), 6 * SECOND_MICROS);
+            assertTrue(ledger.flush());
+        }
+        LedgerEntry large = largeEntry(ledger);
+        while (ledger.hasRoomFor(large)) {
+            ledger.recordAccepted(large);
+            assertTrue(ledger.flush());
+            large = largeEntry(ledger);
+        }
+        ledger.compact();
+        assertTrue(ledger.fileBytes() <= MAX_LIVE_BYTES, ledger.fileBytes() + " bytes");
+    }
+
+    private static LedgerEntry largeEntry(Ledger ledger) {
+        return ledger.createEntry("large", "order", null, null, null, "7", 99, new byte[20_000]);
+    }
 }
