An id that is used again after its retention is known after its second end

After 60 s an id may be accepted anew; the end of that message was then not remembered, and a repeat ran again. Cause: FinishedMessages.add kept the expired entry of the first end in place of the new one. Evidence: FinishedMessagesTest.idThatIsUsedAgainAfterItsRetentionIsKnownAgain failed before (null), passes now. Change: expired entries are removed before a message is added.

--- a/relay/src/main/java/yewpath/ledger/FinishedMessages.java
+++ b/relay/src/main/java/yewpath/ledger/FinishedMessages.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * The messages that ended recently, by their ids. A request that repeats the id of an open message may be
@@ -54,17 +55,18 @@
 
     /** Adds a message; one that is known under its id already stays as it is. */
     void add(FinishedMessage message) {
+        removeOldestWhile(oldest -> isExpired(oldest, message.finishedMicros));
         if (messages.putIfAbsent(message.id, message) == null) {
             heapBytes += message.heapBytes();
-            removeOldest(message.finishedMicros);
+            removeOldestWhile(oldest -> heapBytes > maxHeapBytes);
         }
     }
 
-    private void removeOldest(long nowMicros) {
+    private void removeOldestWhile(Predicate<FinishedMessage> condition) {
         Iterator<FinishedMessage> oldestFirst = messages.values().iterator();
         while (oldestFirst.hasNext()) {
             FinishedMessage oldest = oldestFirst.next();
-            if (heapBytes <= maxHeapBytes && !isExpired(oldest, nowMicros)) {
+            if (!condition.test(oldest)) {
                 return;
             }
             oldestFirst.remove();
--- a/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
+++ b/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
@@ -38,6 +38,17 @@
         assertNull(messages.find("a", 100 + FinishedMessages.RETENTION_MICROS));
     }
 
+    /** Guards against an id that is used again after its retention and not known after its second end. */
+    @Test
+    public void idThatIsUsedAgainAfterItsRetentionIsKnownAgain() {
+        FinishedMessages messages = new FinishedMessages(10_000);
+        messages.add(new FinishedMessage("a", 100, true));
+        long secondEndMicros = 100 + FinishedMessages.RETENTION_MICROS;
+        messages.add(new FinishedMessage("a", secondEndMicros, false));
+        assertEquals(messages.find("a", secondEndMicros + 1),
+            new FinishedMessage("a", secondEndMicros, false));
+    }
+
     /** Guards against a table that grows without limit, or that drops the messages that ended last. */
     @Test
     public void oldestMessagesAreDroppedBeyondTheMaximumSize() {
