--- a/relay/src/test/java/yewpath/FaultSoakTest.java
+++ b/relay/src/test/java/yewpath/FaultSoakTest.java
@@ -1,6 +1,5 @@
 package yewpath;
 
-import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static yewpath.RelayFixture.waitUntil;
 
