The test of invalid lists sends each in one piece, whatever the machine's pace

Cause: DeliveryTest.watchOfAnInvalidListIsResumedWithIncreasingDelays needs 65 pieces, 20 ms apart, for one invalid list, so three requests take 2.9 s of its 3 s on an idle machine. Change: each line holds the 65 levels at once. Bounds (3 to 8 requests in 3 s) and the content are the same; a flood or a missing retry fails it as before.

--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -877,9 +877,11 @@
     public void watchOfAnInvalidListIsResumedWithIncreasingDelays() throws Exception {
         fixture.start();
         waitUntil("the list is watched", 2000, () -> fixture.watchRequests.size() == 1);
+        // Deeper than the parser allows, so that one line is enough to make the list invalid.
+        String invalidList = "{\"version\":".repeat(65);
         long end = System.nanoTime() + 3_000_000_000L;
         while (System.nanoTime() < end) {
-            fixture.publish("{\"version\":");
+            fixture.publish(invalidList);
             Thread.sleep(20);
         }
         assertTrue(fixture.watchRequests.size() >= 3 && fixture.watchRequests.size() <= 8,
