--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 set -eu
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.."
-[ -f review/standins-2/target/BulkSize.class ] || exit 2
-exec java -cp review/standins-2/target BulkSize "$case_folder"
+[ -f review/standins-2/target/SlowDiscovery.class ] || exit 2
+exec java -cp review/standins-2/target SlowDiscovery "$case_folder"
