--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -365,12 +365,15 @@
 
     final class Platform implements AutoCloseable {
         final int port;
+        /** Whether discovery is down: a watch gets no answer. Notices are answered nevertheless. */
+        volatile boolean down;
         /** Bytes a millisecond that a watch passes on; 0 for no limit. */
         volatile int bytesPerMilli;
         private final Map<String, String> entries = new LinkedHashMap<>();
         private final Map<String, Integer> changedIn = new LinkedHashMap<>();
         private int version = 1;
         private final ServerSocket server;
+        private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
         Platform() throws IOException {
             server = new ServerSocket(0, 200, InetAddress.getByName(HOST));
@@ -425,6 +428,7 @@
         private void serve(Socket socket) {
             try (socket) {
                 socket.setTcpNoDelay(true);
+                connections.add(socket);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 for (Message request = read(in); request != null; request = read(in)) {
                     if (request.startLine.startsWith("POST /v1/outcomes ")) {
@@ -449,7 +453,10 @@
         private void watch(Message request, OutputStream out) throws IOException, InterruptedException {
             Matcher matcher = Pattern.compile("since=(\\d+)").matcher(request.startLine);
             int since = matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
-            log("platform: watch since " + since);
+            log("platform: watch since " + since + (down ? ", no answer while discovery is down" : ""));
+            while (down) {
+                sleep(10);
+            }
             out.write("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
             while (true) {
                 String line = "\n";
@@ -483,6 +490,14 @@
             }
         }
 
+        /** Accepts no new connection any more and closes the open ones. */
+        void leave() throws IOException {
+            server.close();
+            for (Socket each : connections) {
+                each.close();
+            }
+        }
+
         @Override
         public void close() throws IOException {
             server.close();
@@ -496,6 +511,8 @@
         final Path state = temporary.resolve("state-" + port);
         private final Path config = temporary.resolve("config-" + port + ".json");
         private final int platformPort;
+        private final String configStart;
+        private final String configEnd;
         private final List<String> environment = new ArrayList<>();
         Process process;
 
@@ -503,10 +520,11 @@
         Relay(Platform platform, String limits, String settings) throws IOException {
             platformPort = platform.port;
             Files.createDirectories(state);
-            Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"" + HOST + ":" + port + "\",\"discovery\":\"" + HOST
-                + ":" + platformPort + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{" + limits
-                + "},\"known\":" + platform.changesSince(0).replace("\"full\":false", "\"full\":true").strip()
-                + ",\"settings\":{" + settings + "}}");
+            configStart = "{\"name\":\"n1\",\"listen\":\"" + HOST + ":" + port + "\",\"discovery\":\"" + HOST + ":";
+            configEnd = "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{" + limits + "},\"known\":"
+                + platform.changesSince(0).replace("\"full\":false", "\"full\":true").strip() + ",\"settings\":{"
+                + settings + "}}";
+            Files.writeString(config, configStart + platformPort + configEnd);
             opened.add(this);
         }
 
@@ -559,6 +577,15 @@
             log("relay: signal " + name);
         }
 
+        /** Replaces the configuration file by one that names another address of discovery, and sends SIGHUP. */
+        void moveTo(Platform other) throws Exception {
+            Path next = temporary.resolve("config-next.json");
+            Files.writeString(next, configStart + other.port + configEnd);
+            Files.move(next, config, java.nio.file.StandardCopyOption.ATOMIC_MOVE,
+                java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            signal("HUP");
+        }
+
         void kill() throws Exception {
             signal("KILL");
             process.waitFor(5, TimeUnit.SECONDS);
