After a move of discovery the old list is used for 4 s at most without an answer

For the whole outage the relay went on by its old list; messages of one destination reached an endpoint of another one up to 7.8 s after SIGHUP.

Cause: DiscoveryClient.hasAnswered() stayed true once any discovery had answered this process, also after the watch that justified it was closed. Nothing bounded the use of the list from then on.

DiscoveryInterruptionTest on: 3 of 4 fail (moved with pushed lists, moved with lists on request, watch closed by the agent). The fourth guards the new check for an unchanged address and passed before. With ListValidity but without cancelling the calls not yet sent, the same three fail, since a connection that comes up late carries its call by the old list.

Change: ListValidity. An answer makes the list valid; a move, or a watch closed by the peer, limits that to 4 s, when discovery takes its changes to be known. Then calls not yet sent are cancelled as not executed, and nothing is sent until discovery answers a request from after the interruption. A SIGHUP with the same address keeps the watch.

--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.http.CloseReason;
@@ -130,8 +131,17 @@
 
     /** Cancels the calls to an endpoint whose requests are not sent yet. */
     public void cancelUnsentCalls(int endpoint) {
+        cancelUnsentCalls(call -> call.endpoint == endpoint);
+    }
+
+    /** Cancels all calls whose requests are not sent yet. */
+    public void cancelUnsentCalls() {
+        cancelUnsentCalls(call -> true);
+    }
+
+    private void cancelUnsentCalls(Predicate<Call> selection) {
         for (Call call : new ArrayList<>(callsInFlight)) {
-            if (call.endpoint == endpoint && !call.connection.isSendStarted()) {
+            if (selection.test(call) && !call.connection.isSendStarted()) {
                 call.cancelUnsent();
             }
         }
--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -27,23 +27,25 @@
     private OutboundConnection connection;
     private EventLoop.Timer retryTimer;
     private long backoffMicros;
-    private boolean everAnswered;
+    private final ListValidity validity;
 
     /**
      * Creates a client that sends nothing yet.
      *
      * @param version the version of the list that is in use at the start; 0 if there is none
      * @param listener receives all lists and changes, in the rounds of the loop
+     * @param validity is told of answers and interruptions
      * @param onRequestEnded called when a watch has ended or a fetch has failed; if it is null, a watch that
      * ended is restarted after a delay that doubles with each failure
      */
     public DiscoveryClient(EventLoop loop, Limits limits, InetSocketAddress discovery, long version,
-        EndpointList.Listener listener, Runnable onRequestEnded) {
+        EndpointList.Listener listener, ListValidity validity, Runnable onRequestEnded) {
         this.loop = loop;
         this.limits = limits;
         this.discovery = discovery;
         this.version = version;
         this.listener = listener;
+        this.validity = validity;
         this.onRequestEnded = onRequestEnded;
     }
 
@@ -59,19 +61,16 @@
     }
 
     /**
-     * Returns whether discovery has answered with a list, or with an empty line for a list without changes,
-     * since this process started, and its answer was passed to the listener.
-     */
-    public boolean hasAnswered() {
-        return everAnswered;
-    }
-
-    /**
-     * Changes the address of discovery. A watch continues there from the last version; the list stays in use.
+     * Changes the address of discovery. A watch continues there from the last version; the list stays in use
+     * for a limited time until discovery answers there.
      */
     public void setAddress(InetSocketAddress address) {
+        if (address.equals(discovery)) {
+            return;
+        }
         discovery = address;
         backoffMicros = 0;
+        validity.interrupted();
         if (connection != null) {
             startWatch();
         }
@@ -98,8 +97,10 @@
             this::emptyLineReceived);
         private EventLoop.Timer silenceTimer;
         private final long requestedAtMicros = loop.nowMicros();
+        private final long interruptionCount = validity.interruptionCount();
         private boolean headReceived;
         private boolean answered;
+        private boolean closedByThisSide;
 
         ResponseHandler(OutboundConnection source, boolean isWatch) {
             this.source = source;
@@ -117,7 +118,12 @@
                 silenceTimer.cancel();
             }
             silenceTimer = loop.schedule(limits.discoverySilenceTimeoutMicros(),
-                () -> source.close(CloseReason.SILENT));
+                () -> close(CloseReason.SILENT));
+        }
+
+        private void close(CloseReason reason) {
+            closedByThisSide = true;
+            source.close(reason);
         }
 
         @Override
@@ -136,7 +142,7 @@
         /**
          * Runs some time after the head. If nothing has changed, no object follows the head; if something
          * has, the object may arrive separately from the head and in pieces. Until an object or an empty line
-         * arrives it is unknown which is true, so the head alone does not count in {@link #hasAnswered}.
+         * arrives it is unknown which is true, so the head alone does not make the list valid.
          */
         private void answerWithoutChanges() {
             if (!source.isClosed() && !values.isIncomplete()) {
@@ -169,6 +175,7 @@
                 }
             }
             source.close(CloseReason.NOT_REUSABLE);
+            reportInterruption();
             if (isWatch || answer.status() != 200) {
                 requestEnded(isWatch);
             }
@@ -177,9 +184,21 @@
         @Override
         public void onFailure(boolean sent, HttpParser answer) {
             silenceTimer.cancel();
+            reportInterruption();
             requestEnded(isWatch);
         }
 
+        /**
+         * Reports the end of a watch that the peer has closed: discovery may have a change that it could not
+         * write to the watch. A watch that fell silent, as in an outage, received everything that discovery
+         * had until then.
+         */
+        private void reportInterruption() {
+            if (isWatch && headReceived && !closedByThisSide) {
+                validity.interrupted();
+            }
+        }
+
         /**
          * Parses what has been received of the body. If that is not valid, the connection is closed; the next
          * watch starts from the last valid version, so that discovery sends the same changes again.
@@ -189,7 +208,7 @@
                 values.feed(answer.removeBody(), limits.maxDiscoveryLineBytes());
             } catch (IllegalArgumentException invalid) {
                 Log.log(Event.DIRECTORY_INVALID, invalid.getMessage());
-                source.close(CloseReason.MALFORMED_LIST);
+                close(CloseReason.MALFORMED_LIST);
             }
         }
 
@@ -198,7 +217,7 @@
             // A watch that has lasted longer than the delay before it no longer counts as a repeated failure.
             backoffMicros = loop.nowMicros() - requestedAtMicros > backoffMicros ? 0 : backoffMicros;
             reportEmptyList();
-            markAnswered();
+            loop.enqueue(() -> validity.confirmed(interruptionCount));
         }
 
         private void objectReceived(byte[] bytes) {
@@ -209,15 +228,8 @@
                 list.notifyListener(listener);
                 version = list.version;
                 backoffMicros = 0;
+                validity.confirmed(interruptionCount);
             });
-            markAnswered();
-        }
-    }
-
-    /** Takes effect in the round of the loop in which the listener receives what discovery has answered. */
-    private void markAnswered() {
-        if (!everAnswered) {
-            loop.enqueue(() -> everAnswered = true);
         }
     }
 
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -100,7 +100,8 @@
         "The connection that follows the endpoint list has ended; it is opened again.",
         "again_in_ms"),
     DIRECTORY_AWAITED("directory.awaited", Level.WARN,
-        "Discovery has not answered since the start: messages are accepted, and none is sent until it does.",
+        "Discovery has not answered since the start, or since its address changed or it closed the watch: "
+            + "messages are accepted, and none is sent until it does.",
         "open"),
     NOTICE_REFUSED("notice.refused", Level.ERROR,
         "The platform rejected a notice as invalid; the notice is dropped.",
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -14,6 +14,7 @@
 import yewpath.delivery.Call;
 import yewpath.delivery.Delivery;
 import yewpath.directory.DiscoveryClient;
+import yewpath.directory.ListValidity;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.intake.ClientListener;
@@ -58,6 +59,7 @@
     private final NoticeSender notices;
     private final Endpoints endpoints;
     private final DiscoveryClient discoveryClient;
+    private final ListValidity listValidity;
     private final MessageTable messages;
     private final KeyOrder keyOrder = new KeyOrder();
     private final Shutdown shutdown;
@@ -117,8 +119,9 @@
         loop.setRoundAction(this::round);
         policy = new DeliveryPolicy(settings, config.seed, this, loop.nowMicros());
         endpoints = new Endpoints(platformSettings, policy, delivery);
+        listValidity = new ListValidity(loop, this::stopSending);
         discoveryClient = new DiscoveryClient(loop, limits, config.discoveryAddress,
-            endpoints.loadConfigured(config.configuredEndpoints), endpoints,
+            endpoints.loadConfigured(config.configuredEndpoints), endpoints, listValidity,
             settings.listOnRequest ? () -> loop.enqueue(policy::endpointListFailed) : null);
         if (!settings.listOnRequest) {
             discoveryClient.startWatch();
@@ -129,17 +132,17 @@
     }
 
     /**
-     * Whether the endpoint list may be outdated, so that nothing may be sent. The list in the configuration
-     * is as old as the file, and discovery has told its agent of every change since then. Guards against
-     * attempts to endpoints that were drained or removed, or whose address another destination got, while no
-     * process was running. While discovery does not answer, messages are accepted and wait.
+     * Cancels the calls that are not sent yet, because the endpoint list may be outdated. Messages are
+     * accepted and wait until discovery answers.
      */
-    private boolean isListOutdated() {
-        return !discoveryClient.hasAnswered();
+    private void stopSending() {
+        logMissingList();
+        delivery.cancelUnsentCalls();
+        loop.requestRound();
     }
 
     private void logMissingList() {
-        if (isListOutdated()) {
+        if (!listValidity.isValid()) {
             Log.log(Event.DIRECTORY_AWAITED, messages.openCount());
         }
     }
@@ -199,7 +202,7 @@
         long nowMicros = loop.nowMicros();
         policy.setTime(nowMicros);
         loop.runQueuedEvents();
-        boolean maySend = shutdown.mayStartAttempts(nowMicros) && !isListOutdated()
+        boolean maySend = shutdown.mayStartAttempts(nowMicros) && listValidity.isValid()
             && ledger.isWritable();
         EventLoop.runLoggingFailures(() -> policy.completeRound(maySend));
         openBatches.clear();
@@ -255,7 +258,7 @@
             out.writeNumberField("notices_owed", notices.unacknowledgedCount());
             out.writeNumberField("ledger_bytes", ledger.fileBytes());
             out.writeBooleanField("ledger_writable", ledger.isWritable());
-            out.writeBooleanField("endpoint_list_current", !isListOutdated());
+            out.writeBooleanField("endpoint_list_current", listValidity.isValid());
             out.writeNumberField("rounds", roundCount);
             out.writeNumberField("taken", acceptedCount);
             out.writeNumberField("fulfilled", deliveredCount);
--- /dev/null
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -0,0 +1,119 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static yewpath.RelayFixture.uniqueOk;
+import static yewpath.RelayFixture.waitUntil;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which list of endpoints a running relay uses while discovery does not answer it. */
+public final class DiscoveryInterruptionTest extends RelayFixture.RelayTest {
+    /** Discovery takes its changes to be known 4 s after it moved; endpoints tolerate 300 ms more. */
+    private static final int TOLD_MILLIS = 4_300;
+
+    private interface Interruption {
+        void start(RelayFixture fixture) throws Exception;
+    }
+
+    private static void move(RelayFixture fixture) throws Exception {
+        fixture.replaceDiscovery();
+        fixture.reload(fixture.config());
+    }
+
+    @DataProvider
+    public Object[][] interruptions() {
+        Interruption move = DiscoveryInterruptionTest::move;
+        Interruption close = fixture -> fixture.discovery.closeConnections();
+        return new Object[][]{{"moved", "pushed", move}, {"moved", "on_request", move},
+            {"closed", "pushed", close}};
+    }
+
+    /**
+     * Guards against messages that go to an address of another destination: discovery moves, or closes the
+     * watch, and then does not answer. A call whose connection is established late must not be sent either.
+     */
+    @Test(dataProvider = "interruptions")
+    public void nothingIsSentByAListThatDiscoveryDoesNotConfirm(String name, String mode,
+        Interruption interruption) throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
+        fixture.discoveryMode = mode;
+        fixture.connectTimeoutMillis = 10_000;
+        List<String> lateIds = new CopyOnWriteArrayList<>();
+        try (ServerSocket unresponsive = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            fixture.listEndpoint("e2", "127.0.0.1:" + unresponsive.getLocalPort(), 2);
+            List<Socket> backlog = RelayFixture.fillBacklog(unresponsive);
+            fixture.start();
+            waitUntil("the list is confirmed", 6_000, this::isListCurrent);
+            fixture.watchDelayMillis = -1;
+            interruption.start(fixture);
+            long interruptedAtNanos = System.nanoTime();
+            assertEquals(fixture.submit("before", "order", 1, 15_000), 202);
+            waitUntil("the old list is used at first", 1_000, () -> endpoint.requests.size() == 1);
+            pauseUntil(interruptedAtNanos, TOLD_MILLIS - 1_000);
+            assertEquals(fixture.submit("connecting", "order", 2, 15_000), 202);
+            pauseUntil(interruptedAtNanos, TOLD_MILLIS);
+            assertEquals(fixture.submit("after", "order", 1, 15_000), 202);
+            recordIds(unresponsive, lateIds);
+            for (Socket socket : backlog) {
+                socket.close();
+            }
+            // The connection of the second message is established by then: its SYN is repeated after 1 s and 3 s.
+            pauseUntil(interruptedAtNanos, TOLD_MILLIS + 2_500);
+            assertEquals(lateIds, List.of(), "a call was sent late by the old list");
+            assertEquals(endpoint.requests.size(), 1, "a message was sent by the old list");
+            fixture.watchDelayMillis = 0;
+            waitUntil("the messages are delivered once discovery answers", 6_000,
+                () -> endpoint.requests.size() == 2 && lateIds.contains("connecting"));
+        }
+    }
+
+    /** Guards against a reload without a new address that makes the list of an outage unusable. */
+    @Test
+    public void reloadWithTheSameAddressKeepsTheWatch() throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
+        fixture.start();
+        waitUntil("the list is confirmed", 6_000, this::isListCurrent);
+        fixture.watchDelayMillis = -1;
+        fixture.watchKeepAlive = false;
+        fixture.reload(fixture.config());
+        RelayFixture.pause(TOLD_MILLIS);
+        assertEquals(fixture.submit("m1", "order", 1, 15_000), 202);
+        waitUntil("the message is sent by the list", 1_000, () -> endpoint.requests.size() == 1);
+    }
+
+    private boolean isListCurrent() throws IOException {
+        return fixture.exchange("GET /stats HTTP/1.1\r\n\r\n").body()
+            .contains("\"endpoint_list_current\":true");
+    }
+
+    private static void pauseUntil(long startNanos, long millisSinceStart) {
+        RelayFixture.pause(millisSinceStart - (System.nanoTime() - startNanos) / 1_000_000);
+    }
+
+    /** Records the id of each request until the listener is closed, and answers it. */
+    private static void recordIds(ServerSocket listener, List<String> ids) {
+        Thread thread = new Thread(() -> {
+            while (!listener.isClosed()) {
+                try (Socket connection = listener.accept()) {
+                    RelayFixture.ReceivedRequest request = RelayFixture
+                        .readRequest(connection.getInputStream(), 1);
+                    if (request != null) {
+                        ids.add(request.id());
+                        connection.getOutputStream().write(uniqueOk().getBytes());
+                    }
+                } catch (IOException closed) {
+                    continue;
+                }
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
