Heads are kept as bytes, so that many short headers do not fill the heap

What callers saw: 300 clients that wrote heads of 8 KiB made of five-byte headers ended all service at memory_mb 64 and 96: 209 and 210 of 230 messages of other clients got no answer, also after the 300 had left. The process stayed up.

Cause: HttpParser kept two strings for each header, over 100 bytes for five received. A head of 8 KiB held some 170 KiB, more than Limits counts for a whole connection, so 128 connections filled the heap of 25 MB.

Evidence: a thread dump in that state: collector 87% of a core, I/O thread 13%.

Change: HeaderBlock keeps the lines as received; a header is looked up by name when it is asked for.

--- a/relay/src/main/java/yewpath/http/HttpParser.java
+++ b/relay/src/main/java/yewpath/http/HttpParser.java
@@ -1,7 +1,6 @@
 package yewpath.http;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
@@ -33,8 +32,7 @@
     private final boolean parsesRequests;
     private final int maxHeadBytes;
     private final int maxBodyBytes;
-    private final List<String> headerNames = new ArrayList<>();
-    private final List<String> headerValues = new ArrayList<>();
+    private final HeaderBlock headers = new HeaderBlock();
     private Stage stage = Stage.START_LINE;
     private int headBytes;
     private int scannedBytes;
@@ -99,12 +97,8 @@
 
     /** Returns the first value of a header, or null; header names are compared without regard to case. */
     public String header(String name) {
-        for (int i = 0; i < headerNames.size(); i++) {
-            if (headerNames.get(i).equalsIgnoreCase(name)) {
-                return headerValues.get(i);
-            }
-        }
-        return null;
+        List<String> values = headers.values(name);
+        return values.isEmpty() ? null : values.get(0);
     }
 
     /** Returns a copy of the part of the body that has been received and not been removed. */
@@ -125,8 +119,7 @@
 
     /** Discards the current message, so that the next message on the same connection can be parsed. */
     public void startNextMessage() {
-        headerNames.clear();
-        headerValues.clear();
+        headers.clear();
         stage = Stage.START_LINE;
         headBytes = scannedBytes = bodySize = 0;
         body = new byte[0];
@@ -244,8 +237,7 @@
         int colon = line.indexOf(':');
         require(colon > 0 && isToken(line.substring(0, colon)),
             "header line does not begin with a name and a colon");
-        headerNames.add(line.substring(0, colon));
-        headerValues.add(line.substring(colon + 1).strip());
+        headers.add(line);
     }
 
     /** Returns whether the text is a token as RFC 9110, section 5.6.2, defines it. */
@@ -261,33 +253,28 @@
 
     /** Evaluates the headers that tell where the body ends and whether the connection stays open. */
     private void selectBodyFraming() throws HttpParseException {
-        String contentLength = null;
-        String transferEncoding = null;
-        for (int i = 0; i < headerNames.size(); i++) {
-            String name = headerNames.get(i);
-            if (name.equalsIgnoreCase("Content-Length")) {
-                require(contentLength == null && headerValues.get(i).matches("[0-9]{1,15}"),
-                    "Content-Length is repeated or not a number of 1 to 15 digits");
-                contentLength = headerValues.get(i);
-            } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
-                require(transferEncoding == null && headerValues.get(i).equalsIgnoreCase("chunked"),
-                    "Transfer-Encoding is repeated or not \"chunked\"");
-                transferEncoding = headerValues.get(i);
-            } else if (name.equalsIgnoreCase("Connection")) {
-                String options = headerValues.get(i).toLowerCase();
-                keepAlive = options.contains("close") ? false : keepAlive || options.contains("keep-alive");
-            }
+        List<String> contentLengths = headers.values("Content-Length");
+        require(contentLengths.isEmpty()
+            || contentLengths.size() == 1 && contentLengths.get(0).matches("[0-9]{1,15}"),
+            "Content-Length is repeated or not a number of 1 to 15 digits");
+        List<String> transferEncodings = headers.values("Transfer-Encoding");
+        require(transferEncodings.isEmpty()
+            || transferEncodings.size() == 1 && transferEncodings.get(0).equalsIgnoreCase("chunked"),
+            "Transfer-Encoding is repeated or not \"chunked\"");
+        for (String connectionOptions : headers.values("Connection")) {
+            String options = connectionOptions.toLowerCase();
+            keepAlive = options.contains("close") ? false : keepAlive || options.contains("keep-alive");
         }
         // With both headers, two implementations may disagree on where the message ends (request smuggling).
-        require(contentLength == null || transferEncoding == null,
+        require(contentLengths.isEmpty() || transferEncodings.isEmpty(),
             "both Content-Length and Transfer-Encoding are set");
         headBytes = 0;
         if (!parsesRequests && (status < 200 || status == 204 || status == 304)) {
             stage = Stage.COMPLETE;
-        } else if (transferEncoding != null) {
+        } else if (!transferEncodings.isEmpty()) {
             stage = Stage.CHUNK_SIZE;
-        } else if (contentLength != null || parsesRequests) {
-            remainingBytes = contentLength == null ? 0 : Long.parseLong(contentLength);
+        } else if (!contentLengths.isEmpty() || parsesRequests) {
+            remainingBytes = contentLengths.isEmpty() ? 0 : Long.parseLong(contentLengths.get(0));
             checkBodySize(remainingBytes);
             stage = remainingBytes == 0 ? Stage.COMPLETE : Stage.FIXED_LENGTH_BODY;
         } else {
--- /dev/null
+++ b/relay/src/test/java/yewpath/ClientFloodTest.java
@@ -0,0 +1,119 @@
+package yewpath;
+
+import static org.testng.Assert.assertEquals;
+import static yewpath.RelayFixture.uniqueOk;
+import static yewpath.RelayFixture.waitUntil;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests that a relay with little memory answers its usual clients while others strain it. */
+public final class ClientFloodTest extends RelayFixture.RelayTest {
+    private static final int CLIENTS = 300;
+    /** How long a client waits for an answer. */
+    private static final int CLIENT_WAIT_MILLIS = 400;
+    /** The heap that {@code deploy/run.sh} gives a relay with {@code memory_mb} 64. */
+    private static final String SMALL_HEAP = "-Xmx25m";
+
+    /** A client that writes a request as fast as the relay reads it, and reads no answer. */
+    private static final class WritingClient implements AutoCloseable {
+        private final SocketChannel channel;
+        private final ByteBuffer request;
+
+        WritingClient(int port, byte[] request) throws IOException {
+            channel = SocketChannel.open(new InetSocketAddress(RelayFixture.RELAY_ADDRESS, port));
+            channel.configureBlocking(false);
+            this.request = ByteBuffer.wrap(request);
+        }
+
+        /** Writes what the connection accepts; does nothing once the relay has closed it. */
+        void write() {
+            try {
+                channel.write(request);
+            } catch (IOException closed) {
+                request.position(request.limit());
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+
+    /**
+     * Guards against a relay that runs out of memory and answers nobody any more: many clients send heads of
+     * the maximum size that consist of very short headers.
+     */
+    @Test
+    public void headsOfManyShortHeadersLeaveRoomForOthers() throws Exception {
+        startWithSmallHeap();
+        byte[] head = ("POST /status HTTP/1.1\r\n" + "a:b\r\n".repeat(1_630))
+            .getBytes(StandardCharsets.ISO_8859_1);
+        assertUsualClientsAreAnsweredDuring(head);
+    }
+
+    /**
+     * Starts a relay with the heap of a small one; as in {@code deploy/run.sh}, the heap is allocated
+     * completely at the start.
+     */
+    private void startWithSmallHeap() throws Exception {
+        fixture.addEndpoint(1, request -> uniqueOk());
+        Path config = Files.writeString(fixture.directory.resolve("config.json"), fixture.config());
+        ProcessBuilder builder = RelayFixture.yewpathCommand("serve", "--config", config.toString());
+        Collections.replaceAll(builder.command(), "-Xmx64m", SMALL_HEAP);
+        fixture.process = builder.redirectOutput(fixture.directory.resolve("log").toFile()).start();
+        waitUntil("the relay is ready", 10_000, fixture::isReady);
+    }
+
+    /** Submits messages while 300 other clients write the request, and after that. */
+    private void assertUsualClientsAreAnsweredDuring(byte[] request) throws Exception {
+        List<WritingClient> others = new ArrayList<>();
+        List<String> answers = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            others.add(new WritingClient(fixture.port, request));
+        }
+        Thread writer = new Thread(() -> {
+            while (!Thread.currentThread().isInterrupted()) {
+                others.forEach(WritingClient::write);
+                RelayFixture.pause(5);
+            }
+        });
+        writer.start();
+        for (int i = 0; i < 40; i++) {
+            answers.add(submit("during-" + i));
+            RelayFixture.pause(50);
+        }
+        writer.interrupt();
+        writer.join();
+        for (WritingClient other : others) {
+            other.close();
+        }
+        for (int i = 0; i < 10; i++) {
+            answers.add(submit("after-" + i));
+        }
+        assertEquals(answers.stream().filter(answer -> !answer.equals("202")).toList(), List.of());
+    }
+
+    private String submit(String id) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(RelayFixture.RELAY_ADDRESS, fixture.port),
+                CLIENT_WAIT_MILLIS);
+            socket.setSoTimeout(CLIENT_WAIT_MILLIS);
+            return String.valueOf(RelayFixture
+                .exchange(socket, RelayFixture.messageRequest(id, "status", 1, 7_900, "x")).status());
+        } catch (IOException exception) {
+            return id + ": " + exception.getMessage();
+        }
+    }
+}
