Changes with a lower version make the relay ask discovery for its whole list

What callers saw: another process came up at the address of discovery, with a list of its own and versions counted anew.

Cause: DiscoveryClient applied each change to the list in use, whatever version it led to.

Evidence: DiscoveryInterruptionTest.wholeListIsRequestedFromADiscoveryThatCountsAnew fails on (the whole list is not requested within 2 s).

Change: changes to a version below the one in use are refused like an invalid list; the next watch starts from version 0, and meanwhile the list counts as interrupted.

--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -222,6 +222,7 @@
 
         private void objectReceived(byte[] bytes) {
             EndpointList list = EndpointList.read(bytes);
+            requireSameNumbering(list);
             answered = true;
             restartSilenceTimer();
             loop.enqueue(() -> {
@@ -233,6 +234,22 @@
         }
     }
 
+    /**
+     * Refuses changes with a lower version than that of the list in use. Guards against another process of
+     * discovery, which counts its versions anew, being taken for the one before: its changes do not apply to this
+     * list, so the next watch starts from no version and gets its whole list.
+     */
+    private void requireSameNumbering(EndpointList list) {
+        if (list.isComplete() || list.version >= version) {
+            return;
+        }
+        long versionInUse = version;
+        version = 0;
+        validity.interrupted();
+        throw new IllegalArgumentException(
+            "changes lead to version " + list.version + ", but version " + versionInUse + " is in use");
+    }
+
     private void requestEnded(boolean isWatch) {
         if (onRequestEnded != null) {
             onRequestEnded.run();
--- a/relay/src/main/java/yewpath/directory/EndpointList.java
+++ b/relay/src/main/java/yewpath/directory/EndpointList.java
@@ -123,6 +123,11 @@
             String.valueOf((long) numbers[0]), state, numbers[1], (long) (numbers[2] * 1000));
     }
 
+    /** Returns whether this is the complete list, and not the changes to an earlier one. */
+    boolean isComplete() {
+        return complete;
+    }
+
     /** Passes the whole list to the listener. */
     public void notifyListener(Listener listener) {
         listener.listStarted(complete);
--- a/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -74,6 +74,31 @@
         }
     }
 
+    /**
+     * Guards against another process of discovery that is taken for the one before: it has another list and
+     * counts its versions anew, so its changes do not apply to the list in use.
+     */
+    @Test
+    public void wholeListIsRequestedFromADiscoveryThatCountsAnew() throws Exception {
+        RelayFixture.StubServer removed = fixture.addEndpoint(1, request -> uniqueOk());
+        RelayFixture.StubServer other = new RelayFixture.StubServer(request -> uniqueOk());
+        fixture.listVersion = 40;
+        fixture.start();
+        fixture.publish(false, fixture.listEntry("e2", other.address(), 2, "plain", "up"));
+        waitUntil("the list is in use", 6_000, () -> fixture.submit("m1", "status", 2, 7_900) == 202);
+        fixture.initialWatchData = "{\"version\":3,\"full\":true,\"servers\":["
+            + fixture.listEntry("e3", other.address(), 1, "plain", "up") + "]}";
+        fixture.publish("{\"version\":2,\"full\":false,\"servers\":["
+            + fixture.listEntry("e4", other.address(), 4, "plain", "up") + "]}");
+        waitUntil("the whole list is requested", 2_000,
+            () -> fixture.watchRequests.get(fixture.watchRequests.size() - 1).contains("since=0"));
+        waitUntil("the list of the other process is in use", 2_000,
+            () -> fixture.submit("m2-" + System.nanoTime(), "status", 1, 7_900) == 202
+                && other.requests.size() > 1);
+        assertEquals(removed.requests.size(), 0, "a message was sent by the list of the process before");
+        other.close();
+    }
+
     /** Guards against a reload without a new address that makes the list of an outage unusable. */
     @Test
     public void reloadWithTheSameAddressKeepsTheWatch() throws Exception {
