An error that ends the I/O thread ends the process

What callers saw: after 300 clients with heads of very many headers had left, a relay with 64 MB answered nobody, 374 of 374 messages in 20 s. The process stayed up, so nothing started it again.

Cause: an OutOfMemoryError in the library's loop, outside of what it catches, ended the only I/O thread.

Evidence: the last line of the relay's output, «Exception in thread "yewpath I/O-1" java.lang.OutOfMemoryError».

Change: IoThreadFailure logs relay.io_thread_failed and ends the process with exit code 1; the next one continues with the ledger.

--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -26,6 +26,10 @@
     RELAY_ERROR("relay.fault", Level.ERROR,
         "Handling one message or connection failed with an exception; the others are not affected.",
         "exception"),
+    RELAY_IO_THREAD_FAILED("relay.io_thread_failed", Level.ERROR,
+        "An error has ended the I/O thread; the process ends with exit code 1, and a new one continues with "
+            + "the ledger.",
+        "exception"),
     CLIENT_ACCEPT_FAILED("client.accept_failed", Level.WARN,
         "A client's connection could not be accepted.",
         "why"),
--- a/relay/src/main/java/yewpath/intake/ClientListener.java
+++ b/relay/src/main/java/yewpath/intake/ClientListener.java
@@ -166,10 +166,11 @@
     }
 
     private void checkTimeouts() {
+        // Scheduled first, so that a failure with one connection does not end the checks.
+        eventLoop.schedule(limits.sweepIntervalMicros(), this::checkTimeouts);
         long nowMicros = eventLoop.nowMicros();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             connection.checkTimeouts(nowMicros);
         }
-        eventLoop.schedule(limits.sweepIntervalMicros(), this::checkTimeouts);
     }
 }
--- a/relay/src/main/java/yewpath/loop/EventLoop.java
+++ b/relay/src/main/java/yewpath/loop/EventLoop.java
@@ -78,8 +78,9 @@
      */
     public void requestRound() {
         if (!roundRequested) {
-            roundRequested = true;
+            // Not marked as requested before that is so: after an error here, no round would ever run.
             thread.execute(this::runRound);
+            roundRequested = true;
         }
     }
 
@@ -117,10 +118,10 @@
 
     private void scheduleWakeUp() {
         if (!timers.isEmpty() && timers.peek().dueAtMicros < wakeUpAtMicros) {
-            wakeUpAtMicros = timers.peek().dueAtMicros;
-            long scheduledForMicros = wakeUpAtMicros;
+            long scheduledForMicros = timers.peek().dueAtMicros;
             thread.executeAfter(() -> runDueTimers(scheduledForMicros),
                 Math.max(0, scheduledForMicros - nowMicros()), TimeUnit.MICROSECONDS);
+            wakeUpAtMicros = scheduledForMicros;
         }
     }
 
--- a/relay/src/main/java/yewpath/relay/RelayServer.java
+++ b/relay/src/main/java/yewpath/relay/RelayServer.java
@@ -60,6 +60,7 @@
             .createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "yewpath").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        worker.getIoThread().setUncaughtExceptionHandler(new IoThreadFailure(Runtime.getRuntime()::halt));
         EventLoop loop = new EventLoop(worker.getIoThread(), clock);
         CountDownLatch started = new CountDownLatch(1);
         Exception[] failure = {null};
