--- a/relay/src/test/java/yewpath/ClientFloodTest.java
+++ b/relay/src/test/java/yewpath/ClientFloodTest.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -72,13 +74,20 @@
             .getBytes(StandardCharsets.ISO_8859_1);
         byte[] manyStatistics = "GET /stats HTTP/1.1\r\n\r\n".repeat(1_000_000)
             .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] halfOfALargeRequest = RelayFixture
+            .messageRequest("half", "status", 1, 7_900, "z".repeat(65_000)).substring(0, 60_000)
+            .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] newNames = IntStream.range(0, 100_000)
+            .mapToObj(i -> RelayFixture.messageRequest("n" + i, "status", 100 + i, 7_900, "x"))
+            .collect(Collectors.joining()).getBytes(StandardCharsets.ISO_8859_1);
         return new Object[][]{{"unread responses", CLIENTS, statistics}, {"bytes in chunks", CLIENTS, chunks},
-            {"one client", 1, manyStatistics}};
+            {"half of a large request", CLIENTS, halfOfALargeRequest}, {"one client", 1, manyStatistics},
+            {"one client with ever new names", 1, newNames}};
     }
 
     /**
      * Guards against clients that delay the answers to all others: by requests that they send at full speed, by
-     * responses that they do not read, and by bodies of very small chunks.
+     * responses that they do not read, by bodies of very small chunks, or by large ones that they do not complete.
      */
     @Test(dataProvider = "floods")
     public void requestsAtFullSpeedLeaveTimeForOthers(String name, int clients, byte[] request)
