A list that ends together with its watch confirms the list in use

Change: the interruption is noted in the round in which the list takes effect, after it; a watch whose whole response comes in one read counts as ended as well.

--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -169,6 +169,7 @@
         public void onResponse(HttpParser answer) {
             silenceTimer.cancel();
             if (answer.status() == 200) {
+                headReceived = true;
                 feed(answer);
                 if (values.isIncomplete()) {
                     Log.log(Event.DIRECTORY_INVALID, "response ended in the middle of an object");
@@ -191,11 +192,11 @@
         /**
          * Reports the end of a watch that the peer has closed: discovery may have a change that it could not
          * write to the watch. A watch that fell silent, as in an outage, received everything that discovery
-         * had until then.
+         * had until then. Takes effect after what the watch has received: a list that ends with its watch is valid.
          */
         private void reportInterruption() {
             if (isWatch && headReceived && !closedByThisSide) {
-                validity.interrupted();
+                loop.enqueue(validity::interrupted);
             }
         }
 
--- a/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -99,6 +99,29 @@
         other.close();
     }
 
+    @DataProvider
+    public Object[][] paddings() {
+        // The longer response does not fit into one read.
+        return new Object[][]{{0}, {40_000}};
+    }
+
+    /** Guards against a list that is never used because discovery ends each watch together with its list. */
+    @Test(dataProvider = "paddings")
+    public void listThatEndsWithItsWatchIsUsed(int padding) throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
+        String list = " ".repeat(padding) + "{\"version\":2,\"full\":true,\"servers\":["
+            + fixture.listEntry("e1", endpoint.address(), 1, "plain", "up") + "]}\n";
+        fixture.discovery.responder = request -> "HTTP/1.1 200 OK\r\nContent-Length: " + list.length()
+            + "\r\n\r\n" + list;
+        fixture.watchDelayMillis = -1;
+        fixture.start();
+        assertEquals(fixture.submit("m1", "order", 1, 15_000), 202);
+        waitUntil("the first message is sent", 1_000, () -> endpoint.requests.size() == 1);
+        RelayFixture.pause(TOLD_MILLIS);
+        assertEquals(fixture.submit("m2", "order", 1, 15_000), 202);
+        waitUntil("a later message is sent", 1_000, () -> endpoint.requests.size() == 2);
+    }
+
     /** Guards against a reload without a new address that makes the list of an outage unusable. */
     @Test
     public void reloadWithTheSameAddressKeepsTheWatch() throws Exception {
