Tests that suspend a relay wait until all of its threads are stopped

Cause, by trace: the relay was not suspended yet. `kill` returns before a thread of the process has received SIGSTOP; until then the others go on.

Change: SuspendedRelay waits for the state T of every thread. The assertions and bounds of the tests stay. DeliveryTest and RestartTest still send the signal alone.

--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -24,6 +24,8 @@
  * its limit.
  */
 public final class ClosingTest extends RelayFixture.RelayTest {
+    private SuspendedRelay suspended;
+
     private final List<Socket> sockets = new ArrayList<>();
 
     private Socket connect() throws IOException {
@@ -46,7 +48,7 @@
         long terminatedNanos = System.nanoTime();
         fixture.process.destroy();
         waitUntil("the shutdown begins", 2000, () -> fixture.hasLogged("relay.closing"));
-        fixture.signal("STOP");
+        suspended = new SuspendedRelay(fixture);
         return terminatedNanos;
     }
 
@@ -56,7 +58,7 @@
      */
     private void resumeWhenExitIsDue(long terminatedNanos) throws Exception {
         waitUntil("the exit is due", 3000, () -> System.nanoTime() - terminatedNanos > 1_200_000_000L);
-        fixture.signal("CONT");
+        suspended.resume();
     }
 
     private void assertExitsInTime() throws Exception {
--- a/relay/src/test/java/yewpath/DepartedClientTest.java
+++ b/relay/src/test/java/yewpath/DepartedClientTest.java
@@ -38,12 +38,12 @@
         for (int i = 0; i < REQUESTS; i++) {
             requests.append(RelayFixture.messageRequest("m" + i, messageClass, 1, 7_000, "x"));
         }
-        fixture.signal("STOP");
+        SuspendedRelay suspended = new SuspendedRelay(fixture);
         try (Socket client = fixture.connect()) {
             client.getOutputStream().write(requests.toString().getBytes(StandardCharsets.ISO_8859_1));
             client.setSoLinger(resets, 0);
         }
-        fixture.signal("CONT");
+        suspended.resume();
         assertEquals(fixture.submit("m100", messageClass, 1, 7_000), 202);
         waitUntil("the message that came again is delivered", 3_000,
             () -> receivedIds(endpoint).contains("m100"));
--- a/relay/src/test/java/yewpath/IntakeTest.java
+++ b/relay/src/test/java/yewpath/IntakeTest.java
@@ -183,12 +183,12 @@
         String smallChunks = "1\r\nx\r\n".repeat(30_000) + "0\r\n\r\n";
         String chunked = "POST /status HTTP/1.1\r\nRequest-Id: f2\r\nRequest-Timeout: 5000m\r\nX-Addressing: dest=1\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n" + smallChunks;
-        fixture.signal("STOP");
+        SuspendedRelay suspended = new SuspendedRelay(fixture);
         try (Socket socket = fixture.connect()) {
             socket.getOutputStream()
                 .write((RelayFixture.messageRequest("f1", "status", 1, 5000, "x") + chunked)
                     .getBytes(StandardCharsets.ISO_8859_1));
-            fixture.signal("CONT");
+            suspended.resume();
             assertEquals(RelayFixture.readResponse(socket).status(), 202);
             assertEquals(RelayFixture.readResponse(socket).status(), 202);
         }
@@ -223,12 +223,12 @@
     @Test
     public void messageOfAClientThatHasGoneIsNotSent() throws Exception {
         // The relay is suspended, so that it finds the request and the end of the connection at once.
-        fixture.signal("STOP");
+        SuspendedRelay suspended = new SuspendedRelay(fixture);
         try (Socket socket = fixture.connect()) {
             socket.getOutputStream().write(RelayFixture.messageRequest("l1", "order", 1, 5000, "x")
                 .getBytes(StandardCharsets.ISO_8859_1));
         }
-        fixture.signal("CONT");
+        suspended.resume();
         assertEquals(fixture.submit("l2", "order", 1, 5000), 202);
         RelayFixture.waitUntil("the next message is delivered", 2000,
             () -> endpoint.requests.stream().anyMatch(call -> "l2".equals(call.id())));
@@ -302,14 +302,14 @@
             crowdedFixture.operatorConfig = "[clients]\nconnections = 4\n";
             crowdedFixture.addEndpoint(1, request -> OK);
             crowdedFixture.start();
-            crowdedFixture.signal("STOP");
+            SuspendedRelay suspended = new SuspendedRelay(crowdedFixture);
             for (int i = 0; i < 300; i++) {
                 clients.add(crowdedFixture.connect());
                 clients.get(i).getOutputStream()
                     .write(RelayFixture.messageRequest("rush" + i, "status", 1, 7900, "x")
                         .getBytes(StandardCharsets.ISO_8859_1));
             }
-            crowdedFixture.signal("CONT");
+            suspended.resume();
             for (int i = 0; i < clients.size(); i++) {
                 int status = RelayFixture.readResponse(clients.get(i)).status();
                 assertTrue(status == 202 || status == 503, "connection " + i + ": " + status);
@@ -349,11 +349,11 @@
             crowdedFixture.maxFileDescriptors = 128;
             RelayFixture.StubServer healthyEndpoint = crowdedFixture.addEndpoint(1, request -> OK);
             crowdedFixture.start();
-            crowdedFixture.signal("STOP");
+            SuspendedRelay suspended = new SuspendedRelay(crowdedFixture);
             for (int i = 0; i < 400; i++) {
                 clients.add(crowdedFixture.connect());
             }
-            crowdedFixture.signal("CONT");
+            suspended.resume();
             assertEquals(crowdedFixture.submit("after", "status", 1, 5000), 202);
             RelayFixture.waitUntil("the message is delivered", 2000,
                 () -> healthyEndpoint.requests.size() == 1);
