--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -169,7 +169,7 @@
         entry.rejected = rejected;
         entry.retryAfterMicros = retryAfterMicros;
         entry.finishedMicros = nowMicros;
-        finishedMessages.add(new FinishedMessage(entry.id, nowMicros, rejected));
+        addFinished(entry);
         dropBody(entry);
         append(entry, RecordFormat.noticeOwed(entry));
     }
@@ -198,7 +198,7 @@
     public void recordDelivered(LedgerEntry entry, long nowMicros) {
         if (remove(entry)) {
             entry.finishedMicros = nowMicros;
-            finishedMessages.add(new FinishedMessage(entry.id, nowMicros, false));
+            addFinished(entry);
             append(entry, RecordFormat.completed(entry));
         }
     }
@@ -387,7 +387,7 @@
         }
     }
 
-    /** Adds the message of a replayed entry to the finished ones, if its record tells when it ended. */
+    /** Adds the message of an entry to the finished ones, if it is known when it ended. */
     private void addFinished(LedgerEntry entry) {
         if (entry.finishedMicros >= 0) {
             finishedMessages.add(new FinishedMessage(entry.id, entry.finishedMicros, entry.rejected));
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -47,19 +46,6 @@
             .collect(Collectors.joining()) + "Content-Length: 0\r\n\r\n";
     }
 
-    /** Returns a responder that waits for the latch before each response. */
-    private static Function<RelayFixture.ReceivedRequest, String> respondAfter(CountDownLatch latch,
-        Function<RelayFixture.ReceivedRequest, String> response) {
-        return request -> {
-            try {
-                latch.await();
-            } catch (InterruptedException exception) {
-                return CLOSE_CONNECTION;
-            }
-            return response.apply(request);
-        };
-    }
-
     private static String okWithBody(String json) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + json.length() + "\r\n\r\n" + json;
     }
@@ -519,7 +505,7 @@
     public void connectionToAnOldAddressIsNotReused() throws Exception {
         CountDownLatch addressChanged = new CountDownLatch(1);
         RelayFixture.StubServer oldAddress = fixture.addEndpoint(1,
-            respondAfter(addressChanged, request -> uniqueOk()));
+            RelayFixture.respondAfter(addressChanged, request -> uniqueOk()));
         RelayFixture.StubServer newAddress = new RelayFixture.StubServer(request -> uniqueOk());
         fixture.start();
         assertEquals(fixture.submit("m1", "status", 1, 7900), 202);
@@ -550,7 +536,7 @@
     public void connectionFromBeforeADrainIsNotReused() throws Exception {
         CountDownLatch drainKnown = new CountDownLatch(1);
         RelayFixture.StubServer endpoint = fixture.addEndpoint(1,
-            respondAfter(drainKnown, request -> uniqueOk()));
+            RelayFixture.respondAfter(drainKnown, request -> uniqueOk()));
         RelayFixture.StubServer other = fixture.addEndpoint(2, request -> uniqueOk());
         fixture.start();
         assertEquals(fixture.submit("d1", "order", 1, 9000), 202);
@@ -699,7 +685,7 @@
     @Test
     public void nextMessageOfAKeyWaitsForTheBatchOfAnExpiredOne() throws Exception {
         CountDownLatch mayRespond = new CountDownLatch(1);
-        RelayFixture.StubServer endpoint = new RelayFixture.StubServer(respondAfter(mayRespond,
+        RelayFixture.StubServer endpoint = new RelayFixture.StubServer(RelayFixture.respondAfter(mayRespond,
             request -> request.requestLine.contains("bulk")
                 ? okWithBody("[{\"id\":\"other\",\"state\":\"done\"},{\"id\":\"ahead\",\"state\":\"done\"}]")
                 : OK));
@@ -707,9 +693,9 @@
         fixture.start();
         assertEquals(fixture.submit("other", "order", 1, 15_000), 202);
         for (String id : List.of("ahead", "behind")) {
-            String request = RelayFixture.messageRequest(id, "serial", 1, id.equals("ahead") ? 1_000 : 15_000,
-                "x");
-            assertEquals(fixture.exchange(request.replaceFirst("\r\n", "\r\nAffinity-Key: doc\r\n")).status(),
+            assertEquals(
+                fixture.exchange(RelayFixture.keyedMessageRequest(id, id.equals("ahead") ? 1_000 : 15_000))
+                    .status(),
                 202);
         }
         fixture.publish(false, fixture.listEntry("e1", endpoint.address(), 1, "bundled", "up"));
--- a/relay/src/test/java/yewpath/KeyPauseTest.java
+++ b/relay/src/test/java/yewpath/KeyPauseTest.java
@@ -8,6 +8,7 @@
 import static yewpath.RelayFixture.waitUntil;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -17,8 +18,6 @@
     /** The platform extends each time limit by this much. */
     private static final int TOLERANCE_MILLIS = 50;
 
-    private final CountDownLatch[] mayEnd = new CountDownLatch[1];
-
     @DataProvider
     public Object[][] endsOfABatch() {
         return new Object[][]{{CLOSE_CONNECTION}, {NO_RESPONSE}};
@@ -30,8 +29,9 @@
      */
     @Test(dataProvider = "endsOfABatch")
     public void keyPausesAfterTheBatchOfAnExpiredMessage(String endOfBatch) throws Exception {
-        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(endOfBatch);
-        mayEnd[0].countDown();
+        CountDownLatch mayEnd = new CountDownLatch(1);
+        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(mayEnd, endOfBatch);
+        mayEnd.countDown();
         waitUntil("the batch call ends", 10_000,
             () -> endOfBatch.equals(CLOSE_CONNECTION) || !endpoint.requests.get(0).open);
         long endedAtNanos = System.nanoTime();
@@ -44,8 +44,9 @@
      */
     @Test
     public void keyPausesAfterARestart() throws Exception {
-        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(NO_RESPONSE);
-        mayEnd[0].countDown();
+        CountDownLatch mayEnd = new CountDownLatch(1);
+        RelayFixture.StubServer endpoint = sendBatchWithAnExpiringMessage(mayEnd, NO_RESPONSE);
+        mayEnd.countDown();
         fixture.kill();
         long endedAtNanos = System.nanoTime();
         fixture.start();
@@ -56,21 +57,18 @@
      * Sends a batch with one message of the key that expires during the call, and submits the next message of
      * the key. The call waits for {@code mayEnd}, then ends in the given way.
      */
-    private RelayFixture.StubServer sendBatchWithAnExpiringMessage(String endOfBatch) throws Exception {
-        mayEnd[0] = new CountDownLatch(1);
-        RelayFixture.StubServer endpoint = new RelayFixture.StubServer(request -> {
-            if (!isFirstBatch(request)) {
-                return OK;
-            }
-            awaitEnd();
-            return endOfBatch;
-        });
+    private RelayFixture.StubServer sendBatchWithAnExpiringMessage(CountDownLatch mayEnd, String endOfBatch)
+        throws Exception {
+        Function<RelayFixture.ReceivedRequest, String> endBatch = RelayFixture.respondAfter(mayEnd,
+            request -> endOfBatch);
+        RelayFixture.StubServer endpoint = new RelayFixture.StubServer(
+            request -> isFirstBatch(request) ? endBatch.apply(request) : OK);
         fixture.settleMillis = PAUSE_MILLIS;
         fixture.listDrainingEndpoint(1);
         fixture.start();
         assertEquals(fixture.submit("other", "order", 1, 6_000), 202);
-        submitWithKey("ahead", 1_000);
-        submitWithKey("behind", 18_000);
+        assertEquals(fixture.exchange(RelayFixture.keyedMessageRequest("ahead", 1_000)).status(), 202);
+        assertEquals(fixture.exchange(RelayFixture.keyedMessageRequest("behind", 18_000)).status(), 202);
         fixture.listEndpoint("e1", endpoint.address(), 1);
         fixture.publish(false, fixture.listEntry("e1", endpoint.address(), 1, "bundled", "up"));
         waitUntil("both messages are sent in one call", 2_000, () -> endpoint.requests.size() == 1);
@@ -86,20 +84,6 @@
         return request.requestLine.contains("bulk") && request.body.contains("\"ahead\"");
     }
 
-    private void awaitEnd() {
-        try {
-            mayEnd[0].await();
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void submitWithKey(String id, int timeoutMillis) throws Exception {
-        String request = RelayFixture.messageRequest(id, "serial", 1, timeoutMillis, "x");
-        assertEquals(fixture.exchange(request.replaceFirst("\r\n", "\r\nAffinity-Key: doc\r\n")).status(),
-            202);
-    }
-
     private void assertPauseSince(long endedAtNanos, RelayFixture.StubServer endpoint) throws Exception {
         waitUntil("the next message of the key is sent", 8_000,
             () -> endpoint.requests.stream().anyMatch(KeyPauseTest::carriesNextMessage));
--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -94,6 +95,19 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Returns a responder that waits for the latch before each response. */
+    static Function<ReceivedRequest, String> respondAfter(CountDownLatch latch,
+        Function<ReceivedRequest, String> response) {
+        return request -> {
+            try {
+                latch.await();
+            } catch (InterruptedException exception) {
+                return CLOSE_CONNECTION;
+            }
+            return response.apply(request);
+        };
+    }
+
     /** An HTTP server that computes each response from the request and records the requests it read. */
     static final class StubServer implements AutoCloseable {
         final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
@@ -580,6 +594,12 @@
             + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Returns the HTTP request that submits an ordered message with the key {@code doc} to destination 1. */
+    static String keyedMessageRequest(String id, int timeoutMillis) {
+        return messageRequest(id, "serial", 1, timeoutMillis, "x").replaceFirst("\r\n",
+            "\r\nAffinity-Key: doc\r\n");
+    }
+
     /** Submits a message and returns the status of the response. */
     int submit(String id, String messageClass, int destination, int timeoutMillis) throws IOException {
         return exchange(messageRequest(id, messageClass, destination, timeoutMillis, "body of " + id)).status;
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -171,9 +171,9 @@
         fixture.deduplicationMillis = 1_000;
         RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> NO_RESPONSE);
         fixture.start();
-        assertEquals(fixture.exchange(messageWithKey("first", 30_000)).status(), 202);
+        assertEquals(fixture.exchange(RelayFixture.keyedMessageRequest("first", 30_000)).status(), 202);
         waitUntil("the endpoint received the first attempt", 2000, () -> endpoint.requests.size() == 1);
-        assertEquals(fixture.exchange(messageWithKey("second", 30_000)).status(), 202);
+        assertEquals(fixture.exchange(RelayFixture.keyedMessageRequest("second", 30_000)).status(), 202);
         fixture.kill();
         endpoint.responder = request -> OK;
         fixture.noticeStatus = 0;
@@ -190,11 +190,6 @@
         assertTrue(fixture.hasOutcomeNotice("first", "given_up"));
     }
 
-    private static String messageWithKey(String id, int withinMillis) {
-        return RelayFixture.messageRequest(id, "serial", 1, withinMillis, "x").replaceFirst("\r\n",
-            "\r\nAffinity-Key: doc\r\n");
-    }
-
     /**
      * Guards against an at-most-once message that is sent again after a kill, although the endpoint may have
      * executed the call that was in progress. An idempotent message must be sent again.
