A list that discovery writes slowly is heard, and bounds the use of the list before

Cause: DiscoveryClient restarted its silence timer for complete messages only, so 3 s of silence were the time for a whole list: the watch was closed while bytes arrived every 10 ms, and the change began anew. Behind it: nothing bounded how long the list before was used while a change was arriving.

A request of the policy no longer closes a watch whose response is arriving. WatchTest.unfinishedListDoesNotKeepTheWatchAlive keeps its bound and has three more rows (digits, a string, spaces between lists).

--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -17,6 +17,8 @@
  * heartbeats. After any failure the last list stays in use.
  */
 public final class DiscoveryClient {
+    private static final int MAX_ALLOWANCE_FACTOR = 64;
+
     private final EventLoop loop;
     private final Limits limits;
     private InetSocketAddress discovery;
@@ -25,8 +27,12 @@
     private long version;
     /** The connection of the latest watch; null before the first one. */
     private OutboundConnection connection;
+    /** The handler of the latest watch; null before the first one. */
+    private ResponseHandler watchHandler;
     private EventLoop.Timer retryTimer;
     private long backoffMicros;
+    /** Doubles with each response that was too slow, until a list arrives. */
+    private int allowanceFactor = 1;
     private final ListValidity validity;
 
     /**
@@ -49,8 +55,17 @@
         this.onRequestEnded = onRequestEnded;
     }
 
-    /** Starts a watch from the last version known and closes the previous watch, if there is one. */
+    /**
+     * Starts a watch from the last version known and closes the previous watch, if there is one. A watch whose
+     * response is arriving continues: another one would get the same list from its beginning.
+     */
     public void startWatch() {
+        if (watchHandler == null || !watchHandler.isReceiving()) {
+            restartWatch();
+        }
+    }
+
+    private void restartWatch() {
         if (retryTimer != null) {
             retryTimer.cancel();
         }
@@ -72,7 +87,7 @@
         backoffMicros = 0;
         validity.interrupted();
         if (connection != null) {
-            startWatch();
+            restartWatch();
         }
     }
 
@@ -84,9 +99,13 @@
     private void sendRequest(String target, boolean isWatch) {
         OutboundConnection requestConnection = new OutboundConnection(loop, limits, discovery,
             limits.maxDiscoveryLineBytes());
-        connection = isWatch ? requestConnection : connection;
+        ResponseHandler handler = new ResponseHandler(requestConnection, isWatch);
+        if (isWatch) {
+            connection = requestConnection;
+            watchHandler = handler;
+        }
         byte[] request = HttpMessageBuilder.request("GET", target, discovery).build();
-        requestConnection.sendRequest(request, new ResponseHandler(requestConnection, isWatch));
+        requestConnection.sendRequest(request, handler);
     }
 
     /** Handles the response to one request, which lasts as long as the watch does. */
@@ -95,9 +114,13 @@
         private final boolean isWatch;
         private final JsonObjectSplitter values = new JsonObjectSplitter(this::objectReceived,
             this::emptyLineReceived);
-        private EventLoop.Timer silenceTimer;
+        private final ProgressTimeout progress;
         private final long requestedAtMicros = loop.nowMicros();
         private final long interruptionCount = validity.interruptionCount();
+        /** When the list that is arriving began to arrive; negative between two lists. */
+        private long listStartedAtMicros = -1;
+        private long listBytes;
+        private boolean responseStarted;
         private boolean headReceived;
         private boolean answered;
         private boolean closedByThisSide;
@@ -105,20 +128,20 @@
         ResponseHandler(OutboundConnection source, boolean isWatch) {
             this.source = source;
             this.isWatch = isWatch;
-            restartSilenceTimer();
+            progress = new ProgressTimeout(loop, limits, allowanceFactor, this::giveUp);
         }
 
-        /**
-         * Called only when something complete was received: the head, an empty line or an object. Guards
-         * against a watch that will never deliver a change again although single bytes still arrive, or
-         * although its last line broke off in the middle.
-         */
-        private void restartSilenceTimer() {
-            if (silenceTimer != null) {
-                silenceTimer.cancel();
+        /** Whether a part of the response has arrived and more may follow. */
+        boolean isReceiving() {
+            return responseStarted && !source.isClosed();
+        }
+
+        private void giveUp(CloseReason reason) {
+            if (reason == CloseReason.SLOW) {
+                Log.log(Event.DIRECTORY_SLOW, listBytes, (loop.nowMicros() - requestedAtMicros) / 1000);
+                allowanceFactor = Math.min(MAX_ALLOWANCE_FACTOR, 2 * allowanceFactor);
             }
-            silenceTimer = loop.schedule(limits.discoverySilenceTimeoutMicros(),
-                () -> close(CloseReason.SILENT));
+            close(reason);
         }
 
         private void close(CloseReason reason) {
@@ -128,12 +151,13 @@
 
         @Override
         public void onPartialResponse(HttpParser answer) {
-            if (!isWatch || !answer.isHeadComplete() || answer.status() != 200) {
+            responseStarted = true;
+            if (!answer.isHeadComplete() || answer.status() != 200) {
                 return;
             }
             if (!headReceived) {
                 headReceived = true;
-                restartSilenceTimer();
+                progress.messageCompleted();
                 loop.schedule(limits.responseCompletionTimeoutMicros(), this::answerWithoutChanges);
             }
             feed(answer);
@@ -145,7 +169,7 @@
          * arrives it is unknown which is true, so the head alone does not make the list valid.
          */
         private void answerWithoutChanges() {
-            if (!source.isClosed() && !values.isIncomplete()) {
+            if (isWatch && !source.isClosed() && !values.isIncomplete()) {
                 reportEmptyList();
             }
         }
@@ -167,7 +191,7 @@
 
         @Override
         public void onResponse(HttpParser answer) {
-            silenceTimer.cancel();
+            progress.stop();
             if (answer.status() == 200) {
                 headReceived = true;
                 feed(answer);
@@ -184,7 +208,7 @@
 
         @Override
         public void onFailure(boolean sent, HttpParser answer) {
-            silenceTimer.cancel();
+            progress.stop();
             reportInterruption();
             requestEnded(isWatch);
         }
@@ -205,32 +229,53 @@
          * watch starts from the last valid version, so that discovery sends the same changes again.
          */
         private void feed(HttpParser answer) {
+            byte[] part = answer.removeBody();
             try {
-                values.feed(answer.removeBody(), limits.maxDiscoveryLineBytes());
+                values.feed(part, limits.maxDiscoveryLineBytes());
+                if (values.isIncomplete() && !JsonObjectSplitter.isBlank(part)) {
+                    listPartReceived(part.length);
+                }
             } catch (IllegalArgumentException invalid) {
                 Log.log(Event.DIRECTORY_INVALID, invalid.getMessage());
                 close(CloseReason.MALFORMED_LIST);
             }
         }
 
+        private void listPartReceived(int bytes) {
+            progress.partReceived(bytes);
+            listBytes += bytes;
+            if (listStartedAtMicros < 0) {
+                long startedAtMicros = loop.nowMicros();
+                listStartedAtMicros = startedAtMicros;
+                if (isWatch) {
+                    loop.enqueue(() -> validity.changeStarted(startedAtMicros));
+                }
+            }
+        }
+
         private void emptyLineReceived() {
-            restartSilenceTimer();
+            progress.messageCompleted();
             // A watch that has lasted longer than the delay before it no longer counts as a repeated failure.
             backoffMicros = loop.nowMicros() - requestedAtMicros > backoffMicros ? 0 : backoffMicros;
             reportEmptyList();
-            loop.enqueue(() -> validity.confirmed(interruptionCount));
+            long receivedAtMicros = loop.nowMicros();
+            loop.enqueue(() -> validity.confirmed(interruptionCount, receivedAtMicros));
         }
 
         private void objectReceived(byte[] bytes) {
             EndpointList list = EndpointList.read(bytes);
             requireSameNumbering(list);
             answered = true;
-            restartSilenceTimer();
+            progress.messageCompleted();
+            allowanceFactor = 1;
+            long startedAtMicros = listStartedAtMicros < 0 ? loop.nowMicros() : listStartedAtMicros;
+            listStartedAtMicros = -1;
+            listBytes = 0;
             loop.enqueue(() -> {
                 list.notifyListener(listener);
                 version = list.version;
                 backoffMicros = 0;
-                validity.confirmed(interruptionCount);
+                validity.confirmed(interruptionCount, startedAtMicros);
             });
         }
     }
@@ -258,7 +303,7 @@
             backoffMicros = Math.min(limits.maxRetryDelayMicros(),
                 Math.max(limits.initialRetryDelayMicros(), 2 * backoffMicros));
             Log.log(Event.DIRECTORY_WATCH_ENDED, backoffMicros / 1000);
-            retryTimer = loop.schedule(backoffMicros, this::startWatch);
+            retryTimer = loop.schedule(backoffMicros, this::restartWatch);
         }
     }
 }
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -100,12 +100,15 @@
     DIRECTORY_INVALID("directory.garbled", Level.WARN,
         "An endpoint list could not be read and is ignored; the previous list stays in use.",
         "why"),
+    DIRECTORY_SLOW("directory.slow", Level.WARN,
+        "A list arrives so slowly that its connection is closed; the next one gets twice the time.",
+        "bytes", "after_ms"),
     DIRECTORY_WATCH_ENDED("directory.lost", Level.INFO,
         "The connection that follows the endpoint list has ended; it is opened again.",
         "again_in_ms"),
     DIRECTORY_AWAITED("directory.awaited", Level.WARN,
-        "Discovery has not answered since the start, or since its address changed or it closed the watch: "
-            + "messages are accepted, and none is sent until it does.",
+        "Discovery has not answered since the start, or since its address changed or it closed the watch, or a "
+            + "change has not arrived completely: messages are accepted, and none is sent until it has.",
         "open"),
     NOTICE_REFUSED("notice.refused", Level.ERROR,
         "The platform rejected a notice as invalid; the notice is dropped.",
--- a/relay/src/main/java/yewpath/http/CloseReason.java
+++ b/relay/src/main/java/yewpath/http/CloseReason.java
@@ -27,8 +27,10 @@
     ADDRESS_NOT_IN_USE("address not in use"),
     /** The server was moved to another address; the connection to the new address replaces this one. */
     REPLACED("replaced by a new one"),
-    /** The discovery server sent nothing complete in time. */
+    /** The discovery server sent nothing in time. */
     SILENT("silent"),
+    /** The discovery server sends a list so slowly that it may never be complete. */
+    SLOW("too slow"),
     MALFORMED_LIST("unreadable list"),
     /** The client's request was refused, and the client had time to read the response that says so. */
     REFUSED("refused, and told so"),
--- a/relay/src/main/java/yewpath/json/JsonObjectSplitter.java
+++ b/relay/src/main/java/yewpath/json/JsonObjectSplitter.java
@@ -52,6 +52,16 @@
         }
     }
 
+    /** Returns whether these bytes of a stream are whitespace only, such as an empty line. */
+    public static boolean isBlank(byte[] bytes) {
+        for (byte character : bytes) {
+            if (!isWhitespace(character)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean isWhitespace(byte character) {
         return character == ' ' || character == '\t' || character == '\r' || character == '\n';
     }
--- a/relay/src/main/java/yewpath/operator/OperatorKeys.java
+++ b/relay/src/main/java/yewpath/operator/OperatorKeys.java
@@ -80,7 +80,8 @@
 
     public static final Key DISCOVERY_SILENCE_TIMEOUT = duration("discovery.silence", 3 * SECOND,
         100 * MILLISECOND, 600 * SECOND, true,
-        "A discovery connection without any data for this long is replaced by a new one.");
+        "A discovery connection without any data for this long is replaced by a new one. A list may "
+            + "take longer while it arrives.");
     public static final Key DISCOVERY_MAX_LINE_BYTES = size("discovery.line_most", 1 * MIB, 1 * KIB,
         256 * MIB, true,
         "Maximum size of one update from discovery, which may be the whole list.");
--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -364,7 +364,7 @@
         return discovery;
     }
 
-    private static void chunk(OutputStream out, String text) throws IOException {
+    static void chunk(OutputStream out, String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         out.write(
             (Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
--- a/relay/src/test/java/yewpath/WatchTest.java
+++ b/relay/src/test/java/yewpath/WatchTest.java
@@ -6,6 +6,7 @@
 import static yewpath.RelayFixture.NO_RESPONSE;
 import static yewpath.RelayFixture.waitUntil;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the watch of the endpoint list: how its data is split and formatted, and how it ends. */
@@ -70,17 +71,23 @@
         untilListed(9);
     }
 
+    @DataProvider
+    public Object[][] unfinishedLists() {
+        return new Object[][]{{"{\"version\":", " "}, {"{\"version\":", "1"}, {"{\"name\":\"", "x"},
+            {" ", " "}};
+    }
+
     /** Guards against a watch that is kept open for good by bytes that never form a whole list. */
-    @Test
-    public void unfinishedListDoesNotKeepTheWatchAlive() throws Exception {
+    @Test(dataProvider = "unfinishedLists")
+    public void unfinishedListDoesNotKeepTheWatchAlive(String beginning, String rest) throws Exception {
         fixture.addEndpoint(1, request -> OK);
         fixture.operatorConfig = "[discovery]\nsilence = \"600 ms\"\n";
         fixture.watchKeepAlive = false;
         fixture.start();
         int initialCount = fixture.watchRequests.size();
-        fixture.publishPart("{\"version\":");
+        fixture.publishPart(beginning);
         waitUntil("the watch is requested again", 5000, () -> {
-            fixture.publishPart(" ");
+            fixture.publishPart(rest);
             return fixture.watchRequests.size() > initialCount;
         });
     }
