After a standstill the relay reads what came meanwhile before it sends

Cause: the I/O thread runs due timers before it looks for ready channels. The silence timeout closed the watch with the change unread in it, and the policy's alarm sent by the old list; calls that connected meanwhile could be sent before the watch was read.

Change: discovery's watch is read before each round, each request and each silence timeout; a request is cancelled as not executed while a list that arrived is not in use. After a timer that was over 50 ms late a round reads all responses first.

--- a/relay/src/main/java/yewpath/delivery/Call.java
+++ b/relay/src/main/java/yewpath/delivery/Call.java
@@ -223,6 +223,10 @@
         if (cancelIfLate()) {
             return false;
         }
+        if (!delivery.areAddressesCurrent()) {
+            cancelUnsent();
+            return false;
+        }
         for (Attempt attempt : attempts) {
             attempt.beforeSend();
         }
--- a/relay/src/main/java/yewpath/delivery/Delivery.java
+++ b/relay/src/main/java/yewpath/delivery/Delivery.java
@@ -26,6 +26,7 @@
     private final EventLoop loop;
     private final Limits limits;
     private final List<String> reportFields;
+    private final BooleanSupplier listCheck;
     private final BooleanSupplier attemptRecordWriter;
     private final ArrayDeque<IdleConnection> idleConnections = new ArrayDeque<>();
     /** The address of each endpoint; null if nothing may be sent to it. */
@@ -38,17 +39,24 @@
      * Creates a delivery without connections.
      *
      * @param reportFields the fields of load reports in responses; empty if there are none
+     * @param listCheck returns whether the addresses of the endpoints are up to date
      * @param attemptRecordWriter writes the ledger records of attempts that are about to be sent, and
      *     returns whether they are written
      */
-    public Delivery(EventLoop loop, Limits limits, List<String> reportFields,
+    public Delivery(EventLoop loop, Limits limits, List<String> reportFields, BooleanSupplier listCheck,
         BooleanSupplier attemptRecordWriter) {
+        this.listCheck = listCheck;
         this.attemptRecordWriter = attemptRecordWriter;
         this.loop = loop;
         this.limits = limits;
         this.reportFields = reportFields;
     }
 
+    /** Returns whether requests may be sent to the addresses known now. */
+    boolean areAddressesCurrent() {
+        return listCheck.getAsBoolean();
+    }
+
     /** Writes the pending ledger records; returns whether they are written. */
     boolean writeAttemptRecords() {
         return attemptRecordWriter.getAsBoolean();
@@ -129,6 +137,11 @@
         }
     }
 
+    /** Reads the responses that have arrived, which may ask not to send for a while. */
+    public void readAvailable() {
+        new ArrayList<>(callsInFlight).forEach(call -> call.connection.readAvailable());
+    }
+
     /** Cancels the calls to an endpoint whose requests are not sent yet. */
     public void cancelUnsentCalls(int endpoint) {
         cancelUnsentCalls(call -> call.endpoint == endpoint);
--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -18,6 +18,8 @@
  */
 public final class DiscoveryClient {
     private static final int MAX_ALLOWANCE_FACTOR = 64;
+    /** Bounds the work of {@link #readAvailable}; each read takes a buffer of 16 KiB by default. */
+    private static final int MAX_READS = 64;
 
     private final EventLoop loop;
     private final Limits limits;
@@ -34,6 +36,9 @@
     /** Doubles with each response that was too slow, until a list arrives. */
     private int allowanceFactor = 1;
     private final ListValidity validity;
+    /** Lists that have been received and are passed to the listener in the next round. */
+    private int queuedLists;
+    private long receivedParts;
 
     /**
      * Creates a client that sends nothing yet.
@@ -91,6 +96,25 @@
         }
     }
 
+    /**
+     * Reads what discovery has written to the watch until now. Guards against attempts by an outdated list after
+     * the process has stood still: timers and other connections may be handled before the watch is.
+     *
+     * @return whether the listener has all lists that have arrived completely
+     */
+    public boolean readAvailable() {
+        if (connection != null) {
+            long partsBefore;
+            int reads = 0;
+            do {
+                partsBefore = receivedParts;
+                connection.readAvailable();
+                reads++;
+            } while (receivedParts != partsBefore && reads < MAX_READS);
+        }
+        return queuedLists == 0;
+    }
+
     /** Requests the complete list once, without a watch. */
     public void fetchList() {
         sendRequest("/registry/instances", false);
@@ -128,7 +152,8 @@
         ResponseHandler(OutboundConnection source, boolean isWatch) {
             this.source = source;
             this.isWatch = isWatch;
-            progress = new ProgressTimeout(loop, limits, allowanceFactor, this::giveUp);
+            progress = new ProgressTimeout(loop, limits, allowanceFactor, source::readAvailable,
+                this::giveUp);
         }
 
         /** Whether a part of the response has arrived and more may follow. */
@@ -152,6 +177,7 @@
         @Override
         public void onPartialResponse(HttpParser answer) {
             responseStarted = true;
+            receivedParts++;
             if (!answer.isHeadComplete() || answer.status() != 200) {
                 return;
             }
@@ -271,7 +297,9 @@
             long startedAtMicros = listStartedAtMicros < 0 ? loop.nowMicros() : listStartedAtMicros;
             listStartedAtMicros = -1;
             listBytes = 0;
+            queuedLists++;
             loop.enqueue(() -> {
+                queuedLists--;
                 list.notifyListener(listener);
                 version = list.version;
                 backoffMicros = 0;
--- a/relay/src/main/java/yewpath/directory/ProgressTimeout.java
+++ b/relay/src/main/java/yewpath/directory/ProgressTimeout.java
@@ -18,6 +18,7 @@
     private final EventLoop loop;
     private final Limits limits;
     private final int allowanceFactor;
+    private final Runnable reader;
     private final Consumer<CloseReason> onTimeout;
     private long silentAtMicros;
     private long slowAtMicros;
@@ -29,12 +30,15 @@
      * Starts to wait for the first message.
      *
      * @param allowanceFactor the allowance of a message as a multiple of the silence timeout
+     * @param reader reads what has arrived and is not handled yet, since the process may have stood still
      * @param onTimeout called at most once, with the reason why the response has to end
      */
-    ProgressTimeout(EventLoop loop, Limits limits, int allowanceFactor, Consumer<CloseReason> onTimeout) {
+    ProgressTimeout(EventLoop loop, Limits limits, int allowanceFactor, Runnable reader,
+        Consumer<CloseReason> onTimeout) {
         this.loop = loop;
         this.limits = limits;
         this.allowanceFactor = allowanceFactor;
+        this.reader = reader;
         this.onTimeout = onTimeout;
         messageCompleted();
     }
@@ -80,6 +84,10 @@
     }
 
     private void check() {
+        reader.run();
+        if (stopped) {
+            return;
+        }
         long dueAtMicros = Math.min(silentAtMicros, slowAtMicros);
         if (loop.nowMicros() < dueAtMicros) {
             schedule(dueAtMicros);
--- a/relay/src/main/java/yewpath/loop/EventLoop.java
+++ b/relay/src/main/java/yewpath/loop/EventLoop.java
@@ -31,6 +31,9 @@
         }
     }
 
+    /** A timer that is later than this shows that the thread stood still. */
+    private static final long STANDSTILL_MICROS = 50_000;
+
     private final XnioIoThread thread;
     private final Clock clock;
     private final ArrayDeque<Runnable> queuedEvents = new ArrayDeque<>();
@@ -40,6 +43,7 @@
     private boolean roundRequested;
     private long nextSequenceNumber;
     private long wakeUpAtMicros = Long.MAX_VALUE;
+    private boolean stoodStill;
 
     /** Creates an event loop on this I/O thread, with a clock that starts at the current time. */
     public EventLoop(XnioIoThread thread) {
@@ -116,6 +120,20 @@
         return timer;
     }
 
+    /**
+     * Returns whether the thread stood still since the last call of this method, so that channels may be ready
+     * that have not been handled although they were before the timers that are due now.
+     */
+    public boolean pollStandstill() {
+        boolean result = stoodStill || isLate(nowMicros());
+        stoodStill = false;
+        return result;
+    }
+
+    private boolean isLate(long nowMicros) {
+        return !timers.isEmpty() && nowMicros - timers.peek().dueAtMicros > STANDSTILL_MICROS;
+    }
+
     private void scheduleWakeUp() {
         if (!timers.isEmpty() && timers.peek().dueAtMicros < wakeUpAtMicros) {
             long scheduledForMicros = timers.peek().dueAtMicros;
@@ -128,6 +146,7 @@
     private void runDueTimers(long scheduledForMicros) {
         wakeUpAtMicros = scheduledForMicros == wakeUpAtMicros ? Long.MAX_VALUE : wakeUpAtMicros;
         long now = nowMicros();
+        stoodStill |= isLate(now);
         while (!timers.isEmpty() && (timers.peek().dueAtMicros <= now || timers.peek().action == null)) {
             Runnable action = timers.poll().action;
             if (action != null) {
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -115,7 +115,8 @@
         shutdown = new Shutdown(loop, limits);
         notices = new NoticeSender(loop, limits, config.discoveryAddress, this::onNoticeAcknowledged);
         ledgerWriter = new LedgerWriter(loop, ledger, notices::add);
-        delivery = new Delivery(loop, limits, platformSettings.reportFields, ledgerWriter::flush);
+        delivery = new Delivery(loop, limits, platformSettings.reportFields, this::isListCurrent,
+            ledgerWriter::flush);
         loop.setRoundAction(this::round);
         policy = new DeliveryPolicy(settings, config.seed, this, loop.nowMicros());
         endpoints = new Endpoints(platformSettings, policy, delivery);
@@ -141,6 +142,14 @@
         loop.requestRound();
     }
 
+    /**
+     * Whether requests may be sent by the list in use: discovery has confirmed it, and what discovery has written
+     * since is part of it.
+     */
+    private boolean isListCurrent() {
+        return discoveryClient.readAvailable() && listValidity.isValid();
+    }
+
     private void logMissingList() {
         if (!listValidity.isValid()) {
             Log.log(Event.DIRECTORY_AWAITED, messages.openCount());
@@ -201,6 +210,7 @@
         roundCount++;
         long nowMicros = loop.nowMicros();
         policy.setTime(nowMicros);
+        readWhatCameMeanwhile();
         loop.runQueuedEvents();
         boolean maySend = shutdown.mayStartAttempts(nowMicros) && listValidity.isValid()
             && ledger.isWritable();
@@ -217,6 +227,17 @@
         ledgerWriter.flush();
     }
 
+    /**
+     * Reads what has arrived and is not handled yet, so that the policy decides by it: the list of endpoints before
+     * each round, responses after a standstill.
+     */
+    private void readWhatCameMeanwhile() {
+        discoveryClient.readAvailable();
+        if (loop.pollStandstill()) {
+            delivery.readAvailable();
+        }
+    }
+
     /** Refuses the messages accepted in this round, because they could not be written to the ledger. */
     private void refuseAcceptedMessages() {
         for (TrackedMessage message : List.copyOf(acceptedInRound)) {
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -48,7 +48,7 @@
             .set(Options.WORKER_TASK_CORE_THREADS, 1).getMap());
         loop = new EventLoop(worker.getIoThread());
         limits = new Limits(name -> 0, 2_000_000, 2_000_000, OperatorSettings.DEFAULTS);
-        delivery = new Delivery(loop, limits, List.of(), () -> true);
+        delivery = new Delivery(loop, limits, List.of(), () -> true, () -> true);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/relay/src/test/java/yewpath/DeliveryTest.java
+++ b/relay/src/test/java/yewpath/DeliveryTest.java
@@ -218,7 +218,7 @@
         EventLoop loop = new EventLoop(worker.getIoThread());
         Delivery delivery = new Delivery(loop,
             new Limits(name -> 0, 1_000_000, 2_000_000, OperatorSettings.DEFAULTS),
-            List.of(), () -> true);
+            List.of(), () -> true, () -> true);
         AtomicInteger outcomes = new AtomicInteger();
         Call.Attempt attempt = (Call.Attempt) Proxy.newProxyInstance(Call.Attempt.class.getClassLoader(),
             new Class<?>[]{Call.Attempt.class}, (proxy, method, args) -> switch (method.getName()) {
--- a/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -146,7 +146,7 @@
     }
 
     /** Records the id of each request until the listener is closed, and answers it. */
-    private static void recordIds(ServerSocket listener, List<String> ids) {
+    static void recordIds(ServerSocket listener, List<String> ids) {
         Thread thread = new Thread(() -> {
             while (!listener.isClosed()) {
                 try (Socket connection = listener.accept()) {
