--- a/lab/src/main/java/yewpath/lab/policy/Policies.java
+++ b/lab/src/main/java/yewpath/lab/policy/Policies.java
@@ -82,8 +82,24 @@
         }
     }
 
+    /** Limits the attempts out by a number that changes with their outcomes. */
+    private abstract static class AdaptiveLimitPolicy extends BaselinePolicy {
+        private final int initialLimit;
+
+        AdaptiveLimitPolicy(Context context, int initialLimit) {
+            super(context.settings, context.actions, context.random, context.nowMicros);
+            this.initialLimit = initialLimit;
+        }
+
+        @Override
+        int maxAttemptsOut(DestinationState destination) {
+            destination.limit = Double.isNaN(destination.limit) ? initialLimit : destination.limit;
+            return (int) destination.limit;
+        }
+    }
+
     /** Additive increase, multiplicative decrease of the attempts out (Chiu and Jain 1989). */
-    private static class Aimd extends BaselinePolicy {
+    private static class Aimd extends AdaptiveLimitPolicy {
         private static final int INITIAL_LIMIT = 8;
         private static final int MAX_LIMIT = 1_000;
         /**
@@ -92,13 +108,7 @@
         private static final long MIN_DECREASE_INTERVAL_MICROS = 100_000;
 
         Aimd(Context context) {
-            super(context.settings, context.actions, context.random, context.nowMicros);
-        }
-
-        @Override
-        int maxAttemptsOut(DestinationState destination) {
-            destination.limit = Double.isNaN(destination.limit) ? INITIAL_LIMIT : destination.limit;
-            return (int) destination.limit;
+            super(context, INITIAL_LIMIT);
         }
 
         @Override
@@ -118,18 +128,12 @@
      * The limit follows the ratio of the long-term to the short-term mean delay (the Gradient2 limiter of
      * Netflix's concurrency-limits, 2018).
      */
-    private static final class Gradient extends BaselinePolicy {
+    private static final class Gradient extends AdaptiveLimitPolicy {
         private static final int INITIAL_LIMIT = 20;
         private static final int MAX_LIMIT = 1_000;
 
         Gradient(Context context) {
-            super(context.settings, context.actions, context.random, context.nowMicros);
-        }
-
-        @Override
-        int maxAttemptsOut(DestinationState destination) {
-            destination.limit = Double.isNaN(destination.limit) ? INITIAL_LIMIT : destination.limit;
-            return (int) destination.limit;
+            super(context, INITIAL_LIMIT);
         }
 
         /**
--- a/relay/src/test/java/yewpath/ClientFloodTest.java
+++ b/relay/src/test/java/yewpath/ClientFloodTest.java
@@ -10,10 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -96,16 +93,10 @@
         assertUsualClientsAreAnsweredDuring(clients, request);
     }
 
-    /**
-     * Starts a relay with the heap of a small one; as in {@code deploy/run.sh}, the heap is allocated
-     * completely at the start.
-     */
     private void startWithSmallHeap() throws Exception {
         fixture.addEndpoint(1, request -> uniqueOk());
-        Path config = Files.writeString(fixture.directory.resolve("config.json"), fixture.config());
-        ProcessBuilder builder = RelayFixture.yewpathCommand("serve", "--config", config.toString());
-        Collections.replaceAll(builder.command(), "-Xmx64m", SMALL_HEAP);
-        fixture.process = builder.redirectOutput(fixture.directory.resolve("log").toFile()).start();
+        fixture.maxHeapFlag = SMALL_HEAP;
+        fixture.startProcess();
         waitUntil("the relay is ready", 10_000, fixture::isReady);
     }
 
--- a/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -4,7 +4,6 @@
 import static yewpath.RelayFixture.uniqueOk;
 import static yewpath.RelayFixture.waitUntil;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -50,7 +49,7 @@
             fixture.listEndpoint("e2", "127.0.0.1:" + unresponsive.getLocalPort(), 2);
             List<Socket> backlog = RelayFixture.fillBacklog(unresponsive);
             fixture.start();
-            waitUntil("the list is confirmed", 6_000, this::isListCurrent);
+            waitUntil("the list is confirmed", 6_000, fixture::isListCurrent);
             fixture.watchDelayMillis = -1;
             interruption.start(fixture);
             long interruptedAtNanos = System.nanoTime();
@@ -60,7 +59,7 @@
             assertEquals(fixture.submit("connecting", "order", 2, 15_000), 202);
             pauseUntil(interruptedAtNanos, TOLD_MILLIS);
             assertEquals(fixture.submit("after", "order", 1, 15_000), 202);
-            recordIds(unresponsive, lateIds);
+            RelayFixture.recordIds(unresponsive, lateIds);
             for (Socket socket : backlog) {
                 socket.close();
             }
@@ -127,7 +126,7 @@
     public void reloadWithTheSameAddressKeepsTheWatch() throws Exception {
         RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
         fixture.start();
-        waitUntil("the list is confirmed", 6_000, this::isListCurrent);
+        waitUntil("the list is confirmed", 6_000, fixture::isListCurrent);
         fixture.watchDelayMillis = -1;
         fixture.watchKeepAlive = false;
         fixture.reload(fixture.config());
@@ -136,32 +135,7 @@
         waitUntil("the message is sent by the list", 1_000, () -> endpoint.requests.size() == 1);
     }
 
-    private boolean isListCurrent() throws IOException {
-        return fixture.exchange("GET /stats HTTP/1.1\r\n\r\n").body()
-            .contains("\"endpoint_list_current\":true");
-    }
-
     private static void pauseUntil(long startNanos, long millisSinceStart) {
         RelayFixture.pause(millisSinceStart - (System.nanoTime() - startNanos) / 1_000_000);
     }
-
-    /** Records the id of each request until the listener is closed, and answers it. */
-    static void recordIds(ServerSocket listener, List<String> ids) {
-        Thread thread = new Thread(() -> {
-            while (!listener.isClosed()) {
-                try (Socket connection = listener.accept()) {
-                    RelayFixture.ReceivedRequest request = RelayFixture
-                        .readRequest(connection.getInputStream(), 1);
-                    if (request != null) {
-                        ids.add(request.id());
-                        connection.getOutputStream().write(uniqueOk().getBytes());
-                    }
-                } catch (IOException closed) {
-                    continue;
-                }
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
 }
--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -39,6 +39,7 @@
      * relay.
      */
     static final String RELAY_ADDRESS = "127.0.0.2";
+    private static final String MAX_HEAP_FLAG = "-Xmx64m";
     private static final AtomicInteger RESPONSE_COUNT = new AtomicInteger();
     /** A responder returns this to send nothing and leave the connection open until the relay closes it. */
     static final String NO_RESPONSE = "silence";
@@ -200,6 +201,25 @@
         return sockets;
     }
 
+    /** Records the id of each request to a listener until the listener is closed, and answers it. */
+    static void recordIds(ServerSocket listener, List<String> ids) {
+        Thread thread = new Thread(() -> {
+            while (!listener.isClosed()) {
+                try (Socket connection = listener.accept()) {
+                    ReceivedRequest request = readRequest(connection.getInputStream(), 1);
+                    if (request != null) {
+                        ids.add(request.id());
+                        connection.getOutputStream().write(uniqueOk().getBytes());
+                    }
+                } catch (IOException closed) {
+                    continue;
+                }
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** A server that never accepts. Its backlog is full, so connection attempts to it get no reply. */
     static final class UnresponsiveServer implements AutoCloseable {
         private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
@@ -285,6 +305,8 @@
     final Map<String, String> renamedConfigNames = new LinkedHashMap<>();
     /** The number of relays that the settings report. */
     int relayCount = 1;
+    /** The maximum heap size of the relay, as an option of its Java virtual machine. */
+    String maxHeapFlag = MAX_HEAP_FLAG;
     /** Additional options of the relay's Java virtual machine. */
     List<String> jvmFlags = List.of();
     /** Whether the relay writes its log into a pipe that nobody reads. */
@@ -480,7 +502,7 @@
     static ProcessBuilder yewpathCommand(String... args) {
         List<String> command = new ArrayList<>(
             List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", MAX_HEAP_FLAG, "-cp",
                 System.getProperty("surefire.test.class.path",
                     System.getProperty("java.class.path")),
                 "yewpath.command.Main"));
@@ -516,6 +538,7 @@
             builder.command()
                 .addAll(List.of("--operator", Files.writeString(operatorFile(), operatorConfig).toString()));
         }
+        Collections.replaceAll(builder.command(), MAX_HEAP_FLAG, maxHeapFlag);
         builder.command().addAll(1, jvmFlags);
         builder.environment().putAll(environment);
         if (maxFileDescriptors > 0) {
@@ -605,6 +628,11 @@
         return exchange(messageRequest(id, messageClass, destination, timeoutMillis, "body of " + id)).status;
     }
 
+    /** Returns whether the relay uses its endpoint list, as its page {@code /stats} tells. */
+    boolean isListCurrent() throws IOException {
+        return exchange("GET /stats HTTP/1.1\r\n\r\n").body.contains("\"endpoint_list_current\":true");
+    }
+
     /** Returns a number of the relay's page {@code /stats}. */
     long statistic(String name) {
         try {
--- a/relay/src/test/java/yewpath/SlowDiscoveryTest.java
+++ b/relay/src/test/java/yewpath/SlowDiscoveryTest.java
@@ -35,16 +35,11 @@
         discovery = PacedDiscovery.serve(fixture.discovery, fixture.listVersion);
         fixture.watchDelayMillis = -1;
         fixture.start();
-        waitUntil("the list is confirmed", 6_000, this::isListCurrent);
+        waitUntil("the list is confirmed", 6_000, fixture::isListCurrent);
         assertEquals(submit(), 202);
         waitUntil("the list is used", 1_000, () -> previous.requests.size() == 1);
     }
 
-    private boolean isListCurrent() throws IOException {
-        return fixture.exchange("GET /stats HTTP/1.1\r\n\r\n").body()
-            .contains("\"endpoint_list_current\":true");
-    }
-
     private int submit() throws IOException {
         return fixture.submit("m" + messageCount++, "status", 1, 7_900);
     }
--- a/relay/src/test/java/yewpath/StandstillTest.java
+++ b/relay/src/test/java/yewpath/StandstillTest.java
@@ -90,7 +90,7 @@
             SuspendedRelay suspended = new SuspendedRelay(fixture);
             fixture.publish(false,
                 fixture.listEntry("e1", "127.0.0.1:" + listener.getLocalPort(), 1, "plain", "removed"));
-            DiscoveryInterruptionTest.recordIds(listener, ids);
+            RelayFixture.recordIds(listener, ids);
             for (Socket socket : backlog) {
                 socket.close();
             }
--- a/relay/src/test/java/yewpath/WatchTest.java
+++ b/relay/src/test/java/yewpath/WatchTest.java
@@ -129,8 +129,7 @@
         fixture.startProcess();
         waitUntil("the relay is ready", 10_000, fixture::isReady);
         assertEquals(fixture.submit("r1", "status", 1, 7900), 202);
-        waitUntil("the list is in effect", 6_000, () -> fixture
-            .exchange("GET /stats HTTP/1.1\r\n\r\n").body().contains("\"endpoint_list_current\":true"));
+        waitUntil("the list is in effect", 6_000, fixture::isListCurrent);
         RelayFixture.pause(300);
         assertEquals(removed.requests.size(), 0, "a message was sent before the list arrived");
     }
