One failure is evidence of an outage, until a delivery disproves it

Cause: a relay took a destination for out only after four refused connects in a row or a failure share of a half, and only then followed the slow start at the return. Relays with little traffic stayed below both, each for itself, and sent on as usual after their first delivery. The same for resets at once, which counted as stale connections for ever, and for destinations that are shut and tell a wait: nothing followed the wait. Further, the slow start followed the capacity at the end of a window, not at its beginning.

Change: OutageEvidence keeps the failures since the last delivery of an endpoint. The first delivery after them starts the slow start, unless it proves that nothing was out: a call from before the failure was answered promptly, deliveries before and after lie closer than the shortest outage, a single failure lies between answers at their usual pace, or the repeat right after a reset or error was answered. On sockets a full connection table says so (503 and close), CONNECTION_LIMIT, and a refused connect is an outage at once; the simulator's wire cannot tell the two apart and keeps the run of four. Where a relay's share of the budget is less than a call, an endpoint without a delivery for 1 s after a failure gets probes only, and so do the destination's other endpoints after a refused connect. The slow start uses the budget of the rule (N + 3 sqrt(N) + 3 below 30) with two to three standard deviations of margin in place of 0.85 N, starts its probes and tokens at random, and lags half a window. endpoint.outage logs each step with its reason.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -17,6 +17,8 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import java.util.zip.CRC32;
+import yewpath.OutageState.Phase;
+import yewpath.OutageState.Symptom;
 import yewpath.PolicySettings.DeliverySemantics;
 import yewpath.PolicySettings.MessageClass;
 
@@ -51,6 +53,7 @@
     private static final long MILLISECOND = 1_000;
     private static final long SECOND = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE / 4;
+    private static final OutageState NO_OUTAGE = new OutageState(Phase.NONE, null, 0);
 
     /** The window of a new destination, and the largest one, as a share of all call slots. */
     private static final double WINDOW_SHARE = 0.75;
@@ -231,6 +234,9 @@
         double roundRobinWeight;
         /** Calls that may be sent now while the endpoint recovers. */
         double recoveryTokens;
+        final OutageEvidence outageEvidence = new OutageEvidence();
+        /** The state that was reported last, see {@link PolicyActions#outageChanged}. */
+        OutageState reportedOutage = NO_OUTAGE;
         /** Whether a call of the present outage may have been executed. */
         boolean mayHaveExecuted;
         long lastAnswerAtMicros;
@@ -294,10 +300,16 @@
     private static final long DEFAULT_WARM_UP_MICROS = 15 * SECOND;
     private static final double DEFAULT_COLLAPSE_MULTIPLE = 2;
     private static final long DEFAULT_COLLAPSE_WINDOW_MICROS = 3 * SECOND;
+    /** The least part of the collapse multiple that all relays together send. */
+    private static final double MIN_RECOVERY_PART = 0.85;
     /**
-     * The part of the collapse multiple that relays send by themselves; arriving messages earn as much again.
+     * By how many standard deviations the mean of the calls of all relays stays below the collapse budget; more
+     * the larger the budget is, since a small destination has few messages waiting.
      */
-    private static final double RECOVERY_PART = 0.425;
+    private static final double MIN_RECOVERY_MARGIN_DEVIATIONS = 2;
+    private static final double MAX_RECOVERY_MARGIN_DEVIATIONS = 3;
+    /** Collapse budgets are N + 3 sqrt(N) + 3 below this, and N + 2 sqrt(N) + 2 from this on. */
+    private static final double LARGE_BUDGET_CALLS = 30;
     /** Factor for a rate that is listed as approximate or not listed. */
     private static final double APPROXIMATE_RATE_CONFIDENCE = 1 / 1.5;
     /**
@@ -321,6 +333,7 @@
     private final boolean lateRevenueHalves;
     private final boolean listReportsRate;
     private final boolean cancelAllowed;
+    private final boolean distinguishesConnectionFailures;
     private final double crossZonePrice;
     /** Factor for the send rate after an overload, by the price of a refusal. */
     private final double overloadRateCut;
@@ -332,11 +345,7 @@
     /** Factor for a rate that is only approximately known. */
     private final double rateConfidence;
     private final double warmUpInitialShare;
-    /**
-     * What is sent to a recovering destination, as a multiple of its capacity: somewhat less than half of
-     * what makes it collapse. Arriving messages earn up to as much again.
-     */
-    private final double recoveryMultiple;
+    private final double collapseMultiple;
     private final long maxRetryAfterMicros;
     private final long warmUpMicros;
     private final long collapseWindowMicros;
@@ -386,13 +395,14 @@
         warmUpInitialShare = settings.warmUpInitialShare > 0 ? settings.warmUpInitialShare
             : DEFAULT_WARM_UP_INITIAL_SHARE;
         warmUpMicros = settings.warmUpMicros > 0 ? settings.warmUpMicros : DEFAULT_WARM_UP_MICROS;
-        recoveryMultiple = RECOVERY_PART
-            * (settings.collapseMultiple > 0 ? settings.collapseMultiple : DEFAULT_COLLAPSE_MULTIPLE);
+        collapseMultiple = settings.collapseMultiple > 0 ? settings.collapseMultiple
+            : DEFAULT_COLLAPSE_MULTIPLE;
         collapseWindowMicros = settings.collapseWindowMicros > 0 ? settings.collapseWindowMicros
             : DEFAULT_COLLAPSE_WINDOW_MICROS;
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
         maxRetryAfterMicros = settings.maxRetryAfterMicros;
         cancelAllowed = settings.cancelAllowed;
+        distinguishesConnectionFailures = settings.distinguishesConnectionFailures;
         refusedConnectMicros = settings.connectTimeoutMicros > 0
             ? settings.connectTimeoutMicros - settings.connectTimeoutMicros / 8 : NEVER;
         idleConnectionTimeoutMicros = settings.idleConnectionTimeoutMicros > 0
@@ -975,16 +985,20 @@
     }
 
     /** Updates what is known of the endpoint by the outcome of a call. */
-    private void observeOutcome(Call call, int outcome, long elapsedMicros) {
+    private void observeOutcome(Call call, int outcome, long elapsedMicros, long retryAfterMicros) {
         Endpoint endpoint = call.endpoint;
         // A reset at once on a kept connection, which the endpoint closed unseen, says nothing of its health;
         // where such connections are frequent, new ones cost less. Not every caller can tell a kept
         // connection from a new one, so the time decides: a round trip, which is well below the time to an
         // answer.
-        boolean isStaleConnection = (outcome == PolicyActions.STALE_CONNECTION
-            || outcome == PolicyActions.CONNECTION_LOST) && elapsedMicros < endpoint.latencyMicros / 2;
+        boolean isStaleConnection = elapsedMicros < endpoint.latencyMicros / 2
+            && (outcome == PolicyActions.STALE_CONNECTION || outcome == PolicyActions.CONNECTION_LOST
+                && !distinguishesConnectionFailures && !endpoint.outageEvidence.isRepeated(nowMicros));
         staleConnectionShare += isStaleConnection ? STALE_CONNECTION_SMOOTHING * (1 - staleConnectionShare)
             : 0;
+        if (isStaleConnection) {
+            suspect(endpoint, Symptom.RESET, call.startedAtMicros);
+        }
         if (isStaleConnection || outcome == PolicyActions.CANCELLED
             || outcome == PolicyActions.NOT_EXECUTED) {
             return;
@@ -995,15 +1009,24 @@
                 + (outcome == PolicyActions.OVERLOADED ? 1 : RETRY_CREDIT_PER_DELIVERY));
         }
         if (outcome == PolicyActions.OVERLOADED) {
+            if (retryAfterMicros > LONG_RETRY_AFTER_MICROS) {
+                recordShut(call);
+            }
             endpoint.nextProbeAtMicros = max(endpoint.nextProbeAtMicros, endpoint.limiter.waitUntilMicros);
             return;
         }
         if (outcome == PolicyActions.DELIVERED) {
             observeDelivery(call, elapsedMicros);
-            return;
+        } else {
+            observeFailure(call, outcome, elapsedMicros);
         }
+    }
+
+    /** Updates what is known of the endpoint by a call that failed. */
+    private void observeFailure(Call call, int outcome, long elapsedMicros) {
+        Endpoint endpoint = call.endpoint;
         endpoint.lastAnswerAtMicros = outcome == PolicyActions.ERROR
-            || outcome >= PolicyActions.CONNECTION_LOST
+            || outcome == PolicyActions.CONNECTION_LOST || outcome == PolicyActions.STALE_CONNECTION
                 ? nowMicros : endpoint.lastAnswerAtMicros;
         endpoint.consecutiveFailures++;
         endpoint.lastFailure = outcome;
@@ -1011,32 +1034,32 @@
             endpoint.latencyMicros = max(endpoint.latencyMicros,
                 min(elapsedMicros, 2 * endpoint.latencyMicros));
         }
-        boolean mayHaveExecuted = outcome != PolicyActions.UNREACHABLE;
+        boolean mayHaveExecuted = outcome != PolicyActions.UNREACHABLE
+            && outcome != PolicyActions.CONNECTION_LIMIT;
         boolean connectRefused = !mayHaveExecuted && elapsedMicros < refusedConnectMicros;
-        int run = Arrays.stream(call.destination.endpoints)
-            .mapToInt(other -> other.phase == PHASE_UP && other.limiter == endpoint.limiter
-                ? other.consecutiveFailures : 0)
-            .sum();
-        long pauseMicros = (long) overloadPauseMicros(
-            estimatedRate(endpoint.limiter) / max(1, endpoint.limiter.endpointsUp), run + 1);
-        if (connectRefused && endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0
-            && run < OUTAGE_FAILURE_RUN) {
-            // An endpoint with a full connection table refuses connects at once, which must not count as an
-            // outage. That takes a run of failures over all endpoints that share the limit.
-            endpoint.callLimit = max(1, min(endpoint.callLimit, endpoint.callsInFlight));
-            kindCrowdedAtMicros[endpoint.kind] = nowMicros;
-            call.destination.earnedCalls = 0;
-            for (Endpoint other : call.destination.endpoints) {
-                other.crowdedUntilMicros = other.consecutiveFailures > 0 && other.limiter == endpoint.limiter
-                    ? nowMicros + pauseMicros : other.crowdedUntilMicros;
-            }
+        boolean mayBeFullTable = outcome == PolicyActions.CONNECTION_LIMIT
+            || connectRefused && !distinguishesConnectionFailures;
+        Symptom symptom = symptom(outcome, connectRefused);
+        if (symptom != Symptom.CONNECTION_LIMIT) {
+            suspect(endpoint, symptom, call.startedAtMicros);
+        }
+        if (mayBeFullTable && endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0
+            && recordCrowding(call)) {
             return;
         }
+        if (symptom == Symptom.CONNECTION_LIMIT) {
+            suspect(endpoint, symptom, call.startedAtMicros);
+        }
+        if (connectRefused && !mayBeFullTable && collapseBudgetShare(endpoint.limiter) < 1) {
+            markUntestedUnhealthy(call);
+        }
         endpoint.failureShare += FAILURE_SMOOTHING * (1 - endpoint.failureShare);
         if (endpoint.unhealthySinceMicros >= 0) {
             endpoint.mayHaveExecuted |= mayHaveExecuted;
             endpoint.nextProbeAtMicros = nowMicros + probeIntervalMicros(endpoint);
+            reportOutage(endpoint, Phase.UNHEALTHY, endpoint.outageEvidence.symptom());
         } else if (endpoint.failureShare > UNHEALTHY_FAILURE_SHARE
+            || endpoint.recoveringSinceMicros < 0 && endpoint.outageEvidence.isRepeated(nowMicros)
             || endpoint.recoveringSinceMicros < 0 && !mayHaveExecuted
             || endpoint.recoveringSinceMicros >= 0 && endpoint.failureShare > SUSPECT_FAILURE_SHARE) {
             // Most calls must fail, not a few of many: a few resets are no outage, and a recovery at a
@@ -1047,12 +1070,38 @@
             for (Endpoint other : call.destination.endpoints) {
                 if (other == endpoint || connectTimedOut && other.limiter == endpoint.limiter
                     && other.lastAnswerAtMicros < call.startedAtMicros) {
-                    markUnhealthy(other, mayHaveExecuted);
+                    markUnhealthy(other, symptom, mayHaveExecuted);
                 }
             }
         }
     }
 
+    /**
+     * Limits the calls to an endpoint whose connection table may be full, unless failures have come in a run over all
+     * endpoints that share the limit; returns whether. An endpoint with a full table refuses connects at once, which
+     * must not count as an outage.
+     */
+    private boolean recordCrowding(Call call) {
+        Endpoint endpoint = call.endpoint;
+        int run = Arrays.stream(call.destination.endpoints)
+            .mapToInt(other -> other.phase == PHASE_UP && other.limiter == endpoint.limiter
+                ? other.consecutiveFailures : 0)
+            .sum();
+        if (run >= OUTAGE_FAILURE_RUN) {
+            return false;
+        }
+        long pauseMicros = (long) overloadPauseMicros(
+            estimatedRate(endpoint.limiter) / max(1, endpoint.limiter.endpointsUp), run + 1);
+        endpoint.callLimit = max(1, min(endpoint.callLimit, endpoint.callsInFlight));
+        kindCrowdedAtMicros[endpoint.kind] = nowMicros;
+        call.destination.earnedCalls = 0;
+        for (Endpoint other : call.destination.endpoints) {
+            other.crowdedUntilMicros = other.consecutiveFailures > 0 && other.limiter == endpoint.limiter
+                ? nowMicros + pauseMicros : other.crowdedUntilMicros;
+        }
+        return true;
+    }
+
     /** Updates what is known of the endpoint, and of all connections, by a delivery. */
     private void observeDelivery(Call call, long elapsedMicros) {
         Endpoint endpoint = call.endpoint;
@@ -1084,22 +1133,124 @@
         endpoint.latencyMicros += LATENCY_SMOOTHING * deviation;
         endpoint.latencyDeviationMicros += LATENCY_SMOOTHING
             * (Math.abs(deviation) - endpoint.latencyDeviationMicros);
-        // Where answers get lost, an answer in time to a call from before the endpoint counted as unhealthy
-        // shows that there was no outage. No recovery at a reduced rate is needed then.
-        boolean falseAlarm = call.startedAtMicros <= endpoint.unhealthySinceMicros && elapsedMicros < SECOND;
-        if (endpoint.unhealthySinceMicros >= 0 && !falseAlarm
-            && (endpoint.failureShare >= RECOVERY_FAILURE_SHARE || endpoint.mayHaveExecuted)) {
+        Symptom disproof = endpoint.outageEvidence.disproof(call.startedAtMicros,
+            (long) endpoint.callIntervalMicros, nowMicros);
+        if (endpoint.recoveringSinceMicros >= 0) {
+            endpoint.recoveryCallLimit++;
+        } else if (endpoint.outageEvidence.isPending() && disproof == null) {
             // Endpoints of a destination mostly fail together, so they return together: all that share the
             // limit recover at a reduced rate and count as unhealthy again after fewer failures.
-            Arrays.stream(call.destination.endpoints).filter(other -> other == endpoint
-                || other.unhealthySinceMicros >= 0 && other.limiter == endpoint.limiter)
+            Arrays.stream(call.destination.endpoints)
+                .filter(other -> other == endpoint || other.limiter == endpoint.limiter
+                    && (other.unhealthySinceMicros >= 0 || other.outageEvidence.isPending()))
                 .forEach(this::beginRecovery);
-        } else if (endpoint.recoveringSinceMicros >= 0) {
-            endpoint.recoveryCallLimit++;
+        } else {
+            reportOutage(endpoint, Phase.NONE, disproof);
         }
+        endpoint.outageEvidence.recordDelivery(nowMicros);
         markHealthy(endpoint);
     }
 
+    // ---- Evidence of an outage
+
+    /** A state that still holds is reported again after this time, so that a new process knows its age. */
+    private static final long OUTAGE_REPORT_INTERVAL_MICROS = 10 * SECOND;
+
+    private static Symptom symptom(int outcome, boolean connectRefused) {
+        return switch (outcome) {
+            case PolicyActions.UNREACHABLE -> connectRefused ? Symptom.CONNECT_REFUSED
+                : Symptom.CONNECT_TIMED_OUT;
+            case PolicyActions.ERROR -> Symptom.ERROR;
+            case PolicyActions.TIMEOUT -> Symptom.TIMEOUT;
+            case PolicyActions.CONNECTION_LIMIT -> Symptom.CONNECTION_LIMIT;
+            default -> Symptom.RESET;
+        };
+    }
+
+    private void suspect(Endpoint endpoint, Symptom symptom, long callStartedAtMicros) {
+        endpoint.outageEvidence.recordFailure(symptom, callStartedAtMicros, nowMicros);
+        if (endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0) {
+            reportOutage(endpoint, Phase.SUSPECTED, endpoint.outageEvidence.symptom());
+            if (symptom != Symptom.CONNECT_REFUSED && collapseBudgetShare(endpoint.limiter) < 1) {
+                schedule(nowMicros + OutageEvidence.SHORTEST_OUTAGE_MICROS,
+                    () -> markUnhealthyIfUnanswered(endpoint));
+            }
+        }
+    }
+
+    /**
+     * Guards against many relays with little traffic, of which each has had one failure and would send its next
+     * message at once when the destination returns.
+     */
+    private void markUnhealthyIfUnanswered(Endpoint endpoint) {
+        if (endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0
+            && endpoint.outageEvidence.isUnanswered(nowMicros)) {
+            markUnhealthy(endpoint, endpoint.outageEvidence.symptom(),
+                endpoint.outageEvidence.symptom().mayHaveExecuted);
+        }
+    }
+
+    /**
+     * Endpoints of a destination mostly fail together, but a relay with little traffic may not call the others
+     * before they return.
+     */
+    private void markUntestedUnhealthy(Call call) {
+        for (Endpoint other : call.destination.endpoints) {
+            if (other != call.endpoint && other.limiter == call.endpoint.limiter && other.phase == PHASE_UP
+                && other.lastAnswerAtMicros < nowMicros - OutageEvidence.SHORTEST_OUTAGE_MICROS
+                && other.unhealthySinceMicros < 0 && other.recoveringSinceMicros < 0) {
+                suspect(other, Symptom.OTHER_REFUSED, call.startedAtMicros);
+                markUnhealthy(other, Symptom.OTHER_REFUSED, false);
+            }
+        }
+    }
+
+    /** A long wait means that the destination is shut; it returns as from any outage. */
+    private void recordShut(Call call) {
+        for (Endpoint other : call.destination.endpoints) {
+            if (other.limiter == call.endpoint.limiter) {
+                suspect(other, Symptom.SHUT, call.startedAtMicros);
+                markUnhealthy(other, Symptom.SHUT, false);
+                other.nextProbeAtMicros = other.limiter.waitUntilMicros;
+            }
+        }
+    }
+
+    private void reportOutage(Endpoint endpoint, Phase phase, Symptom symptom) {
+        long sinceMicros = phase == Phase.RECOVERING ? endpoint.recoveringSinceMicros
+            : phase != Phase.NONE && endpoint.outageEvidence.isPending()
+                ? endpoint.outageEvidence.lastFailureAtMicros() : nowMicros;
+        OutageState reported = endpoint.reportedOutage;
+        if (phase != reported.phase()
+            || phase != Phase.NONE && sinceMicros - reported.sinceMicros() > OUTAGE_REPORT_INTERVAL_MICROS) {
+            endpoint.reportedOutage = new OutageState(phase, symptom, sinceMicros);
+            actions.outageChanged(endpoint.index, endpoint.reportedOutage);
+        }
+    }
+
+    /**
+     * Restores what an earlier process of this relay, or one that knew an endpoint of the same name before, has
+     * reported of an outage. Messages of an earlier process have earned their calls already, so it is called after
+     * they are accepted again.
+     */
+    public void restoreOutage(int endpointIndex, OutageState state) {
+        Endpoint endpoint = endpoints[endpointIndex];
+        if (state.isExpired(nowMicros)
+            || state.phase() == Phase.RECOVERING && nowMicros - state.sinceMicros() > warmUpMicros) {
+            return;
+        }
+        endpoint.reportedOutage = state;
+        if (state.phase() == Phase.RECOVERING) {
+            beginRecovery(endpoint);
+            endpoint.recoveringSinceMicros = state.sinceMicros();
+        } else if (state.phase() != Phase.NONE) {
+            endpoint.outageEvidence.recordFailure(state.symptom(), state.sinceMicros(), state.sinceMicros());
+            if (state.phase() == Phase.UNHEALTHY) {
+                markUnhealthy(endpoint, state.symptom(), state.symptom().mayHaveExecuted);
+            }
+        }
+    }
+
     /**
      * The failure share above which an endpoint is unhealthy: most of its calls must fail, not a few of many.
      */
@@ -1109,8 +1260,6 @@
      * of an endpoint counts as unhealthy.
      */
     private static final double SUSPECT_FAILURE_SHARE = 0.3;
-    /** The failure share from which on an endpoint recovers at a reduced rate when its outage ends. */
-    private static final double RECOVERY_FAILURE_SHARE = 0.15;
     /** Weight of a failure in the failure share, and factor for the share at a delivery. */
     private static final double FAILURE_SMOOTHING = 0.2;
     private static final double FAILURE_DECAY = 0.8;
@@ -1123,6 +1272,8 @@
     private static final double STALE_CONNECTION_DECAY = 0.97;
     /** Calls per second. */
     private static final double MIN_PROBE_RATE = 0.01;
+    /** The smallest number of calls in a collapse window that is calculated with. */
+    private static final double MIN_COUNTED_CALLS = 0.25;
     private static final long MIN_PROBE_INTERVAL_MICROS = 400 * MILLISECOND;
     /** The longest interval between the probes of a relay, while this many relays or fewer probe. */
     private static final long MAX_PROBE_INTERVAL_MICROS = 2500 * MILLISECOND;
@@ -1156,23 +1307,29 @@
     private double staleConnectionShare;
     private double usualLatencyMicros = DEFAULT_LATENCY_MICROS;
 
-    private void markUnhealthy(Endpoint endpoint, boolean mayHaveExecuted) {
+    private void markUnhealthy(Endpoint endpoint, Symptom symptom, boolean mayHaveExecuted) {
         if (endpoint.unhealthySinceMicros < 0) {
             actions.endpointHealthChanged(endpoint.index, false);
         }
         endpoint.unhealthySinceMicros = nowMicros;
         endpoint.recoveringSinceMicros = -1;
-        endpoint.destination.earnedCalls = 0;
         endpoint.mayHaveExecuted = mayHaveExecuted;
-        endpoint.nextProbeAtMicros = nowMicros + probeIntervalMicros(endpoint);
+        // Random starts, as most relays notice an outage at about the same time, and as relays with little
+        // traffic would hardly ever earn a whole call.
+        endpoint.destination.earnedCalls = random();
+        endpoint.nextProbeAtMicros = nowMicros
+            + max(MIN_PROBE_INTERVAL_MICROS, (long) (probeIntervalMicros(endpoint) * random()));
+        reportOutage(endpoint, Phase.UNHEALTHY, symptom);
     }
 
     private void beginRecovery(Endpoint endpoint) {
         endpoint.recoveringSinceMicros = endpoint.recoveryTokensAtMicros = nowMicros;
         endpoint.recoveryCallLimit = 1;
-        // At most a third of the calls that the recovery rate allows within the collapse window.
-        endpoint.recoveryTokens = min(1, recoveryRate(endpoint, 0) * collapseWindowMicros / SECOND / 3);
+        endpoint.recoveryTokens = random() / max(1, endpoint.limiter.endpointsUp);
         endpoint.failureShare = endpoint.consecutiveFailures = 0;
+        Symptom symptom = endpoint.outageEvidence.symptom();
+        endpoint.outageEvidence.recordDelivery(nowMicros);
+        reportOutage(endpoint, Phase.RECOVERING, symptom);
         markHealthy(endpoint);
     }
 
@@ -1190,25 +1347,65 @@
      */
     private double recoveryRate(Endpoint endpoint, long recoveringForMicros) {
         RateLimiter limiter = endpoint.limiter;
-        double rate = limiter.reportedLimit > 0 ? limiter.reportedLimit
-            : estimatedRate(limiter) * rateConfidence;
+        double rate = recoveringCapacity(limiter);
         double awareRelays = min(relayCount, max(1, rate * RETENTION_MICROS / SECOND));
-        return rate * (recoveryMultiple * warmUpShare(recoveringForMicros) + 1 - awareRelays / relayCount)
+        return rate * (recoveryMultiple(limiter, recoveringForMicros) + 1 - awareRelays / relayCount)
             / awareRelays / max(1, limiter.endpointsUp);
     }
 
+    /** Returns the calls per second, from all relays, that the destination or endpoint accepts once it is warm. */
+    private double recoveringCapacity(RateLimiter limiter) {
+        return limiter.reportedLimit > 0 ? limiter.reportedLimit : estimatedRate(limiter) * rateConfidence;
+    }
+
+    /**
+     * Returns what all relays together send to a recovering destination by themselves, as a multiple of its full
+     * capacity: half of what leaves a margin for chance below the collapse budget. Arriving messages earn as
+     * much again.
+     */
+    private double recoveryMultiple(RateLimiter limiter, long recoveringForMicros) {
+        // The budget of a window depends on the capacity at its beginning, so calls follow the capacity half a window
+        // later.
+        double multiple = collapseMultiple * warmUpShare(recoveringForMicros - collapseWindowMicros / 2);
+        double calls = max(MIN_COUNTED_CALLS,
+            multiple * recoveringCapacity(limiter) * collapseWindowMicros / SECOND);
+        return multiple * max(MIN_RECOVERY_PART, meanCallsWithinBudget(calls) / calls) / 2;
+    }
+
+    /**
+     * Returns the mean of a random number of calls that stays within the collapse budget.
+     *
+     * @param calls the calls that the settings allow in a collapse window
+     */
+    private static double meanCallsWithinBudget(double calls) {
+        double root = Math.sqrt(calls);
+        double budget = calls < LARGE_BUDGET_CALLS ? calls + 3 * root + 3 : calls + 2 * root + 2;
+        double deviations = MIN_RECOVERY_MARGIN_DEVIATIONS
+            + (MAX_RECOVERY_MARGIN_DEVIATIONS - MIN_RECOVERY_MARGIN_DEVIATIONS)
+                * min(1, calls / LARGE_BUDGET_CALLS);
+        // Solves mean + deviations * sqrt(mean) = budget.
+        double rootOfMean = (Math.sqrt(deviations * deviations + 4 * budget) - deviations) / 2;
+        return rootOfMean * rootOfMean;
+    }
+
+    /** Returns the calls in a collapse window that are this relay's even share at a cold destination. */
+    private double collapseBudgetShare(RateLimiter limiter) {
+        return meanCallsWithinBudget(collapseMultiple * warmUpInitialShare * recoveringCapacity(limiter)
+            * collapseWindowMicros / SECOND) / relayCount;
+    }
+
     /**
      * Counts an arriving message as a part of a full call to the unhealthy or recovering endpoints of its
      * destination. By keys and bursts, the relays that send there at a time are a few with many messages
      * each, which would wait too long if the rate were only divided evenly among all relays.
      */
     private void earnCalls(Destination destination) {
-        double part = recoveryMultiple
-            * (FURTHER_MESSAGE_WEIGHT + (1 - FURTHER_MESSAGE_WEIGHT) / destination.maxBatchSize);
-        destination.earnedCalls = min(1, destination.earnedCalls + part * warmUpInitialShare);
+        double weight = FURTHER_MESSAGE_WEIGHT + (1 - FURTHER_MESSAGE_WEIGHT) / destination.maxBatchSize;
+        destination.earnedCalls = min(1,
+            destination.earnedCalls + weight * recoveryMultiple(destination.sharedLimiter, 0));
         for (Endpoint endpoint : destination.endpoints) {
             endpoint.recoveryTokens += endpoint.recoveringSinceMicros < 0 ? 0
-                : part * warmUpShare(nowMicros - endpoint.recoveringSinceMicros)
+                : weight * recoveryMultiple(endpoint.limiter, nowMicros - endpoint.recoveringSinceMicros)
                     / max(1, endpoint.limiter.endpointsUp);
         }
     }
@@ -1216,7 +1413,7 @@
     /** Returns the share of its capacity that a destination has the given time after its return. */
     private double warmUpShare(long recoveringForMicros) {
         return warmUpInitialShare
-            + (1 - warmUpInitialShare) * min(1, recoveringForMicros / (double) warmUpMicros);
+            + (1 - warmUpInitialShare) * max(0, min(1, recoveringForMicros / (double) warmUpMicros));
     }
 
     private long probeIntervalMicros(Endpoint endpoint) {
@@ -1245,7 +1442,8 @@
                         endpoint.latencyMicros
                             * (SILENCE_LATENCIES + SILENCE_LATENCIES_OF_ONE_CALL / endpoint.callsInFlight));
                 if (nowMicros >= silentAtMicros) {
-                    markUnhealthy(endpoint, true);
+                    endpoint.outageEvidence.recordFailure(Symptom.SILENCE, nowMicros, nowMicros);
+                    markUnhealthy(endpoint, Symptom.SILENCE, true);
                     markReady(call.destination);
                 } else if (endpoint.silenceCheckAtMicros <= nowMicros
                     || silentAtMicros < endpoint.silenceCheckAtMicros) {
@@ -1328,8 +1526,7 @@
 
     /** Queues a message again after an attempt that did not deliver it, or finishes it. */
     private void retryOrFinish(Message message, Call call, int outcome) {
-        boolean notExecuted = outcome == PolicyActions.OVERLOADED || outcome == PolicyActions.UNREACHABLE
-            || outcome == PolicyActions.NOT_EXECUTED;
+        boolean notExecuted = PolicyActions.isNotExecuted(outcome);
         markUncertain(message, notExecuted ? -1 : call.startedAtMicros, call.endpoint.zone);
         if (mayAttempt(message)) {
             enqueue(message, true);
@@ -1399,7 +1596,7 @@
             activeCalls.remove(call);
         }
         if (endpoint.callsInFlight == 0 && outcome != PolicyActions.UNREACHABLE
-            && outcome != PolicyActions.NOT_EXECUTED
+            && outcome != PolicyActions.CONNECTION_LIMIT && outcome != PolicyActions.NOT_EXECUTED
             && (nowMicros - kindCrowdedAtMicros[endpoint.kind] < CROWDED_KIND_MICROS
                 || endpoint.callIntervalMicros > idleConnectionTimeoutMicros
                     && destination.queuedMessages == 0
@@ -1427,12 +1624,12 @@
             : limiter.waitUntilMicros;
         if (!call.outcomeObserved) {
             call.outcomeObserved = true;
-            observeOutcome(call, outcome, elapsedMicros);
+            observeOutcome(call, outcome, elapsedMicros, retryAfterMicros);
             checkSilence(endpoint);
         }
         markReady(destination);
         boolean mayStillRun = outcome == PolicyActions.TIMEOUT
-            || outcome >= PolicyActions.CONNECTION_LOST && outcome != PolicyActions.NOT_EXECUTED;
+            || outcome >= PolicyActions.CONNECTION_LOST && !PolicyActions.isNotExecuted(outcome);
         if (message.keyQueue != null && mayStillRun) {
             message.keyQueue.pausedUntilMicros = max(message.keyQueue.pausedUntilMicros,
                 nowMicros + settleAfterUncertainMicros);
@@ -1520,7 +1717,8 @@
         if (health == 1 && endpoint.limiter == destination.sharedLimiter) {
             // Endpoint listed while all others of the destination are down: without this, all relays would
             // send it all their waiting messages at once.
-            markUnhealthy(endpoint, false);
+            endpoint.outageEvidence.recordFailure(Symptom.LISTED_DURING_OUTAGE, nowMicros, nowMicros);
+            markUnhealthy(endpoint, Symptom.LISTED_DURING_OUTAGE, false);
             endpoint.nextProbeAtMicros = nowMicros + (long) (probeIntervalMicros(endpoint) * random());
         }
     }
--- a/decisions/src/main/java/yewpath/PolicyActions.java
+++ b/decisions/src/main/java/yewpath/PolicyActions.java
@@ -28,6 +28,17 @@
      * As {@link #CONNECTION_LOST}, without a byte of an answer, on a connection kept from an earlier call.
      */
     int STALE_CONNECTION = 8;
+    /**
+     * The endpoint has answered that it has too many connections; the message was not executed. Reported where
+     * {@link PolicySettings#distinguishesConnectionFailures} is set, otherwise such a call is {@link #UNREACHABLE}.
+     */
+    int CONNECTION_LIMIT = 9;
+
+    /** Returns whether an outcome proves that the message was not executed. */
+    static boolean isNotExecuted(int outcome) {
+        return outcome == OVERLOADED || outcome == UNREACHABLE || outcome == NOT_EXECUTED
+            || outcome == CONNECTION_LIMIT;
+    }
 
     /**
      * Sends a message to an endpoint. Messages that are sent to one endpoint in one round may share a call,
@@ -71,6 +82,12 @@
      */
     default void endpointHealthChanged(int endpoint, boolean healthy) {}
 
+    /**
+     * Reports what the policy knows of an outage of an endpoint. A relay that keeps its messages across restarts
+     * keeps this too, see {@link DeliveryPolicy#restoreOutage}.
+     */
+    default void outageChanged(int endpoint, OutageState state) {}
+
     /**
      * Asks for one call of {@link DeliveryPolicy#alarmFired}, in the first round at least this long from now.
      */
--- a/decisions/src/main/java/yewpath/PolicySettings.java
+++ b/decisions/src/main/java/yewpath/PolicySettings.java
@@ -143,4 +143,10 @@
     public long idleConnectionTimeoutMicros;
     /** When an attempt to open a connection is abandoned. */
     public long connectTimeoutMicros;
+    /**
+     * Whether the outcomes {@link PolicyActions#CONNECTION_LIMIT} and {@link PolicyActions#STALE_CONNECTION} are
+     * reported. Otherwise a connect that is refused at once may mean a full connection table or an endpoint that
+     * is down, and a reset at once a connection that was closed unnoticed or a failure.
+     */
+    public boolean distinguishesConnectionFailures;
 }
--- a/decisions/src/test/java/yewpath/FleetReturnTest.java
+++ b/decisions/src/test/java/yewpath/FleetReturnTest.java
@@ -38,7 +38,7 @@
         double load, boolean refusesAtOnce, int maxBatchSize) {
         Scenario scenario = new Scenario(relays, endpoints, callsPerSecond, load,
             refusesAtOnce ? Symptom.CONNECT_REFUSED : Symptom.CONNECT_TIMED_OUT, OUTAGE_MICROS, maxBatchSize,
-            Scenario.NO_RESTART);
+            Scenario.NO_RESTART, false);
         double worst = Double.NEGATIVE_INFINITY;
         int deliveredMessages = 0;
         StringBuilder report = new StringBuilder();
@@ -49,6 +49,7 @@
             worst = Math.max(worst, largest == null ? worst : largest.excess());
             deliveredMessages = simulation.deliveredMessages();
         }
+
         assertTrue(worst <= 0, report.toString());
         assertTrue(deliveredMessages > 0.3 * callsPerSecond * FleetSimulation.OBSERVED_MICROS
             / FleetSimulation.SECOND, deliveredMessages + " delivered after the return");
--- a/decisions/src/test/java/yewpath/FleetSimulation.java
+++ b/decisions/src/test/java/yewpath/FleetSimulation.java
@@ -61,9 +61,11 @@
      * @param maxBatchSize messages that a call may carry
      * @param restartLeadMicros how long before the return the processes of all relays have started again after a
      *     kill; negative for a start after the return, {@link #NO_RESTART} for none
+     * @param distinguishesConnectionFailures see {@link PolicySettings#distinguishesConnectionFailures}
      */
     record Scenario(int relays, int endpoints, double callsPerSecond, double load, Symptom symptom,
-        long outageMicros, int maxBatchSize, long restartLeadMicros) {
+        long outageMicros, int maxBatchSize, long restartLeadMicros,
+        boolean distinguishesConnectionFailures) {
         static final long NO_RESTART = Long.MIN_VALUE;
 
         long returnMicros() {
@@ -114,6 +116,7 @@
         final List<Send> sent = new ArrayList<>();
         final ArrayDeque<Integer> freeIndices = new ArrayDeque<>();
         final Map<Integer, OpenMessage> openMessages = new HashMap<>();
+        final Map<Integer, OutageState> outages = new HashMap<>();
         DeliveryPolicy policy;
         int messageCount;
         long alarmDelayMicros = -1;
@@ -143,6 +146,11 @@
             end(message);
         }
 
+        @Override
+        public void outageChanged(int endpoint, OutageState state) {
+            outages.put(endpoint, state);
+        }
+
         @Override
         public void cancelAttempt(int message, int attempt) {}
 
@@ -212,6 +220,7 @@
         settings.collapseMultiple = COLLAPSE_MULTIPLE;
         settings.collapseWindowMicros = COLLAPSE_WINDOW_MICROS;
         settings.connectTimeoutMicros = CONNECT_TIMEOUT_MICROS;
+        settings.distinguishesConnectionFailures = scenario.distinguishesConnectionFailures;
         settings.idleConnectionTimeoutMicros = 10 * SECOND;
         settings.limitPerEndpoint = new boolean[1];
         settings.maxBatchSize = new int[]{scenario.maxBatchSize};
@@ -266,6 +275,7 @@
                 : message.sentAtMicros;
             accept(process, message, uncertainSinceMicros);
         }
+        killed.outages.forEach(process.policy::restoreOutage);
         completeRound(process);
     }
 
--- a/decisions/src/test/java/yewpath/OutageReturnTest.java
+++ b/decisions/src/test/java/yewpath/OutageReturnTest.java
@@ -29,6 +29,7 @@
             {41, 1, 4, 0.8, Symptom.CONNECT_REFUSED, 3 * SECOND, NO_RESTART},
             {41, 1, 4, 0.8, Symptom.CONNECT_REFUSED, 11_576 * MILLISECOND, NO_RESTART},
             {41, 2, 8, 0.8, Symptom.CONNECT_REFUSED, 3 * SECOND, NO_RESTART},
+            {25, 2, 3, 0.9, Symptom.CONNECT_REFUSED, 10 * SECOND, NO_RESTART},
             {41, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 3 * SECOND, NO_RESTART},
             {41, 1, 20, 0.8, Symptom.CONNECT_REFUSED, 11_576 * MILLISECOND, NO_RESTART},
             {100, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 3 * SECOND, NO_RESTART},
@@ -36,14 +37,19 @@
             {120, 1, 12, 0.8, Symptom.CONNECT_REFUSED, 5 * SECOND, NO_RESTART},
             {6, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 14 * SECOND, 600 * MILLISECOND},
             {41, 1, 4, 0.8, Symptom.CONNECT_REFUSED, 14 * SECOND, 600 * MILLISECOND},
+            // Killed while probing, and while the destination warms up.
+            {41, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 14 * SECOND, 600 * MILLISECOND},
+            {41, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 14 * SECOND, -2 * SECOND},
             {6, 1, 40, 0.9, Symptom.CONNECT_REFUSED, 14 * SECOND, -2 * SECOND},
             {20, 1, 40, 0.9, Symptom.RESET, 1_500 * MILLISECOND, NO_RESTART},
             {20, 1, 40, 0.9, Symptom.RESET, 6 * SECOND, NO_RESTART},
             {41, 1, 4, 0.8, Symptom.RESET, 6 * SECOND, NO_RESTART},
             {20, 1, 40, 0.9, Symptom.RESET_AT_ONCE, 6 * SECOND, NO_RESTART},
             {41, 1, 4, 0.8, Symptom.RESET_AT_ONCE, 6 * SECOND, NO_RESTART},
+            {100, 2, 8, 0.8, Symptom.RESET, 8 * SECOND, NO_RESTART},
             {20, 1, 40, 0.9, Symptom.ERROR, 3 * SECOND, NO_RESTART},
             {41, 1, 4, 0.8, Symptom.ERROR, 6 * SECOND, NO_RESTART},
+            {25, 1, 5, 0.9, Symptom.ERROR, 10 * SECOND, NO_RESTART},
             {20, 1, 40, 0.9, Symptom.SILENCE, 6 * SECOND, NO_RESTART},
             {41, 1, 4, 0.8, Symptom.SILENCE, 6 * SECOND, NO_RESTART},
             {20, 1, 40, 0.9, Symptom.SHUT, 6 * SECOND, NO_RESTART},
@@ -57,7 +63,7 @@
     public void firstFailuresBoundTheCallsAfterTheReturn(int relays, int endpoints, double callsPerSecond,
         double load, Symptom symptom, long outageMicros, long restartLeadMicros) {
         Scenario scenario = new Scenario(relays, endpoints, callsPerSecond, load, symptom, outageMicros, 1,
-            restartLeadMicros);
+            restartLeadMicros, true);
         List<String> broken = new ArrayList<>();
         int deliveredMessages = 0;
         for (int seed = 1; seed <= SEEDS; seed++) {
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.stream.Stream;
@@ -24,7 +25,7 @@
     private static final Path SCENARIO_DIRECTORY = Path.of("src/test/resources/scenarios");
     /** The words for the outcomes of {@link PolicyActions}, by their number. */
     private static final List<String> OUTCOMES = List.of("fulfilled", "error", "full", "timeout", "unreached",
-        "broken", "cancelled", "moot", "stale");
+        "broken", "cancelled", "moot", "stale", "crowded");
 
     @DataProvider
     public Object[][] scenarios() throws IOException {
@@ -155,6 +156,7 @@
                     case "probes" -> settings.probesAllowed = value.equals("yes");
                     case "idle" -> settings.idleConnectionTimeoutMicros = toMicros(value);
                     case "connect" -> settings.connectTimeoutMicros = toMicros(value);
+                    case "connects" -> settings.distinguishesConnectionFailures = value.equals("told");
                     case "cancels" -> settings.cancelAllowed = value.equals("yes");
                     case "zone" -> settings.zone = Integer.parseInt(value);
                     case "refusal" -> settings.refusalPrice = Double.parseDouble(value);
@@ -319,6 +321,13 @@
             releasedEndpoints.add(endpoint);
         }
 
+        @Override
+        public void outageChanged(int endpoint, OutageState state) {
+            actions
+                .add(state.phase().name().toLowerCase(Locale.ROOT) + " " + endpointNames.get(endpoint) + " "
+                    + state.symptom());
+        }
+
         @Override
         public void endpointHealthChanged(int endpoint, boolean healthy) {
             actions.add((healthy ? "well " : "sick ") + endpointNames.get(endpoint));
--- a/relay/src/main/java/yewpath/delivery/ResponseInterpreter.java
+++ b/relay/src/main/java/yewpath/delivery/ResponseInterpreter.java
@@ -22,7 +22,7 @@
             // The endpoint has too many connections: it closes a new one at once and reports neither a
             // limit nor a time to wait. The response refers to its connections, not to its call limit.
             // When it was treated as an overload, relays with few connections reduced their send rate.
-            return PolicyActions.UNREACHABLE;
+            return PolicyActions.CONNECTION_LIMIT;
         }
         if (response.status() == 503 && "1".equals(response.header("X-Over-Slots"))) {
             // The response does not refer to the endpoint: this relay had too many calls in flight, since
--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -82,6 +82,10 @@
     ENDPOINT_HEALTHY("endpoint.well", Level.INFO,
         "The endpoint answers again: its load is increased step by step.",
         "endpoint"),
+    ENDPOINT_OUTAGE("endpoint.outage", Level.INFO,
+        "What is known of an outage has changed: phase is none, suspected (a call failed), unhealthy (probes only) "
+            + "or recovering (the load increases step by step); why is the first failure, or what disproves an outage.",
+        "endpoint", "phase", "why"),
     ENDPOINT_LISTED("endpoint.listed", Level.DEBUG,
         "Discovery has added or changed an endpoint.",
         "endpoint", "address", "destination", "state"),
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -5,9 +5,11 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import yewpath.DeliveryPolicy;
+import yewpath.OutageState;
 import yewpath.PolicyActions;
 import yewpath.PolicySettings;
 import yewpath.boot.PlatformSettings;
@@ -48,7 +50,7 @@
     private static final String[] OUTCOME_LABELS = {"fulfilled", "error", "full", "timeout", "unreached",
         "broken",
         "cancelled",
-        "moot", "stale"};
+        "moot", "stale", "crowded"};
 
     private final EventLoop loop;
     private final Ledger ledger;
@@ -107,6 +109,7 @@
         // The number of concurrent calls is limited to the number of connections: a further call would
         // have no connection.
         settings.maxConcurrentCalls = Math.min(settings.maxConcurrentCalls, limits.maxEndpointConnections());
+        settings.distinguishesConnectionFailures = true;
         maxOpenMessages = settings.maxOpenMessages > 0 ? settings.maxOpenMessages : Integer.MAX_VALUE;
         reportsRetryAfter = settings.reportsRetryAfter;
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
@@ -567,8 +570,7 @@
                 deliveredCount += outcome == DELIVERED ? 1 : 0;
                 ledger.recordDelivered(message.entry, loop.nowMicros());
             } else if (!message.ended) {
-                ledger.recordAttemptEnded(message.entry,
-                    outcome == OVERLOADED || outcome == UNREACHABLE || outcome == NOT_EXECUTED);
+                ledger.recordAttemptEnded(message.entry, PolicyActions.isNotExecuted(outcome));
             }
             message.call = null;
             if (Log.isEnabled(Event.ATTEMPT_FAILED)) {
@@ -622,6 +624,13 @@
         Log.log(healthy ? Event.ENDPOINT_HEALTHY : Event.ENDPOINT_UNHEALTHY, endpoints.name(endpoint));
     }
 
+    @Override
+    public void outageChanged(int endpoint, OutageState state) {
+        Log.log(Event.ENDPOINT_OUTAGE, endpoints.name(endpoint),
+            state.phase().name().toLowerCase(Locale.ROOT),
+            state.symptom() == null ? null : state.symptom().name().toLowerCase(Locale.ROOT));
+    }
+
     // ---- Messages ended by the policy
 
     @Override
