What a relay knows of outages outlives its process and the listing of an endpoint

Cause: a new process knew of no outage, and neither did a relay whose endpoint was removed and listed again after 20 s.

--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import yewpath.OutageState;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.ledger.FinishedMessages.FinishedMessage;
@@ -40,7 +41,11 @@
     static final byte TYPE_BATCH = 7;
     /** A message that ended before the file was rewritten. */
     static final byte TYPE_FINISHED = 8;
+    /** What is known of an outage of an endpoint has changed. */
+    static final byte TYPE_OUTAGE = 9;
 
+    /** The number in records that belong to no entry. */
+    private static final long NO_ENTRY = 0;
     /** The part of the heap that the ids of finished messages may take. */
     private static final int HEAP_PART_FOR_FINISHED_MESSAGES = 16;
 
@@ -57,6 +62,7 @@
     private final Map<Long, LedgerEntry> entries = new LinkedHashMap<>();
     private final FinishedMessages finishedMessages = new FinishedMessages(
         Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_FINISHED_MESSAGES);
+    private final KnownOutages knownOutages = new KnownOutages();
     private final List<PendingRecord> pending = new ArrayList<>();
     private int pendingBytes;
     private boolean writable = true;
@@ -98,6 +104,17 @@
         return finishedMessages;
     }
 
+    /** Returns what is known of outages of endpoints, also what an earlier process knew. */
+    public KnownOutages knownOutages() {
+        return knownOutages;
+    }
+
+    /** Records what is known of an outage of an endpoint. */
+    public void recordOutage(String endpoint, OutageState state) {
+        knownOutages.put(endpoint, state);
+        append(NO_ENTRY, RecordFormat.outage(endpoint, state));
+    }
+
     /** Whether the ledger knows any message, open or finished. */
     public boolean hasHistory() {
         return !entries.isEmpty() || !finishedMessages.isEmpty();
@@ -222,7 +239,11 @@
     }
 
     private void append(LedgerEntry entry, byte[] record) {
-        pending.add(new PendingRecord(entry.number, record));
+        append(entry.number, record);
+    }
+
+    private void append(long number, byte[] record) {
+        pending.add(new PendingRecord(number, record));
         pendingBytes += record.length;
     }
 
@@ -272,8 +293,10 @@
     private void rewrite() {
         long startNanos = System.nanoTime();
         long bytesBefore = file.length();
-        Stream<byte[]> records = Stream.of(Stream.of(RecordFormat.clock(clock)),
-            finishedMessages.records(maxFinishedBytes()).stream(),
+        Collection<byte[]> outageRecords = knownOutages.records(maxHistoryBytes() / 2);
+        long outageBytes = outageRecords.stream().mapToLong(record -> record.length).sum();
+        Stream<byte[]> records = Stream.of(Stream.of(RecordFormat.clock(clock)), outageRecords.stream(),
+            finishedMessages.records(maxHistoryBytes() - outageBytes).stream(),
             entries.values().stream().map(RecordFormat::entireEntry)).flatMap(Function.identity());
         try {
             file.replace(records::iterator);
@@ -288,11 +311,11 @@
     }
 
     /**
-     * Returns how many bytes of a rewritten file finished messages may take: no more than live entries leave
-     * of their limit, because the old and the new file exist at the same time, and half of the room for later
+     * Returns how many bytes of a rewritten file outages and finished messages may take: no more than live entries
+     * leave of their limit, because the old and the new file exist at the same time, and half of the room for later
      * records, so that the file is not rewritten again soon.
      */
-    private long maxFinishedBytes() {
+    private long maxHistoryBytes() {
         return Math.min(maxLiveBytes - liveBytes, (compactAtBytes - maxLiveBytes) / 2);
     }
 
@@ -342,6 +365,7 @@
             entry.endAttemptAsUncertain();
         }
         finishedMessages.shiftTimes(offsetMicros);
+        knownOutages.shiftTimes(offsetMicros);
         clock = newClock;
     }
 
@@ -356,6 +380,10 @@
             finishedMessages.add(RecordFormat.readFinished(fields));
             return;
         }
+        if (type == TYPE_OUTAGE) {
+            RecordFormat.readOutage(knownOutages, fields);
+            return;
+        }
         lastNumber = Math.max(lastNumber, number);
         if (type == TYPE_ACCEPTED) {
             LedgerEntry accepted = RecordFormat.readAccepted(number, fields);
--- a/relay/src/main/java/yewpath/ledger/RecordFormat.java
+++ b/relay/src/main/java/yewpath/ledger/RecordFormat.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.zip.CRC32;
+import yewpath.OutageState;
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.ledger.FinishedMessages.FinishedMessage;
@@ -231,6 +232,24 @@
         return new FinishedMessage(id, finishedMicros, in.get() == 1);
     }
 
+    static byte[] outage(String endpoint, OutageState state) {
+        return record(Ledger.TYPE_OUTAGE, 0, out -> {
+            writeString(out, endpoint);
+            writeString(out, state.phase().name());
+            writeString(out, state.symptom() == null ? "" : state.symptom().name());
+            out.writeLong(state.sinceMicros());
+        });
+    }
+
+    /** Reads an outage record and adds it to the known outages. */
+    static void readOutage(KnownOutages outages, ByteBuffer in) {
+        String endpoint = readString(in);
+        OutageState.Phase phase = OutageState.Phase.valueOf(readString(in));
+        String symptom = readString(in);
+        outages.put(endpoint, new OutageState(phase,
+            symptom.isEmpty() ? null : OutageState.Symptom.valueOf(symptom), in.getLong()));
+    }
+
     /** Encodes the whole state of an entry in as few records as possible, one after the other. */
     static byte[] entireEntry(LedgerEntry entry) {
         ByteArrayOutputStream records = new ByteArrayOutputStream();
--- a/relay/src/main/java/yewpath/relay/Endpoints.java
+++ b/relay/src/main/java/yewpath/relay/Endpoints.java
@@ -4,12 +4,14 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import yewpath.DeliveryPolicy;
+import yewpath.OutageState;
 import yewpath.boot.NameTable;
 import yewpath.boot.PlatformSettings;
 import yewpath.delivery.Delivery;
 import yewpath.directory.EndpointList;
 import yewpath.events.Event;
 import yewpath.events.Log;
+import yewpath.ledger.KnownOutages;
 
 /**
  * Translates the names of the endpoint list into indices and passes the list on to the delivery policy and
@@ -21,6 +23,7 @@
     private final PlatformSettings platformSettings;
     private final DeliveryPolicy policy;
     private final Delivery delivery;
+    private final KnownOutages knownOutages;
     private final NameTable ids = new NameTable();
     private final NameTable destinations = new NameTable();
     /** The destinations that a list has named. Restored messages may have added others to the table. */
@@ -38,7 +41,9 @@
     private final BitSet missingFromList = new BitSet();
     private boolean loadingConfigured;
 
-    Endpoints(PlatformSettings platformSettings, DeliveryPolicy policy, Delivery delivery) {
+    Endpoints(PlatformSettings platformSettings, DeliveryPolicy policy, Delivery delivery,
+        KnownOutages knownOutages) {
+        this.knownOutages = knownOutages;
         this.platformSettings = platformSettings;
         this.policy = policy;
         this.delivery = delivery;
@@ -114,6 +119,7 @@
             limitGroups = Arrays.copyOf(limitGroups, index * 2);
         }
         int kindIndex = platformSettings.kinds.getOrAdd(kind);
+        boolean isNew = !knownEndpoints.get(index);
         knownEndpoints.set(index);
         missingFromList.clear(index);
         zones[index] = zone;
@@ -134,6 +140,24 @@
         }
         policy.endpointListed(index, platformSettings.zones.getOrAdd(zone), kindIndex, destinationIndex,
             phase, callsPerSecond, sinceMicros);
+        if (isNew && !loadingConfigured) {
+            restoreOutage(index);
+        }
+    }
+
+    /**
+     * Passes on what earlier processes knew of outages of the configured endpoints, once the messages of these
+     * processes are restored.
+     */
+    void restoreOutages() {
+        knownEndpoints.stream().forEach(this::restoreOutage);
+    }
+
+    private void restoreOutage(int endpoint) {
+        OutageState outage = knownOutages.find(ids.name(endpoint));
+        if (outage != null) {
+            policy.restoreOutage(endpoint, outage);
+        }
     }
 
     /** Removes an endpoint, whose index may then be given to another one. */
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -122,7 +122,7 @@
             ledgerWriter::flush);
         loop.setRoundAction(this::round);
         policy = new DeliveryPolicy(settings, config.seed, this, loop.nowMicros());
-        endpoints = new Endpoints(platformSettings, policy, delivery);
+        endpoints = new Endpoints(platformSettings, policy, delivery, ledger.knownOutages());
         listValidity = new ListValidity(loop, this::stopSending);
         discoveryClient = new DiscoveryClient(loop, limits, config.discoveryAddress,
             endpoints.loadConfigured(config.configuredEndpoints), endpoints, listValidity,
@@ -131,6 +131,7 @@
             discoveryClient.startWatch();
         }
         ledger.entries().forEach(this::restore);
+        endpoints.restoreOutages();
         loop.schedule(limits.connectTimeoutMicros(), this::logMissingList);
         loop.requestRound();
     }
@@ -629,6 +630,7 @@
         Log.log(Event.ENDPOINT_OUTAGE, endpoints.name(endpoint),
             state.phase().name().toLowerCase(Locale.ROOT),
             state.symptom() == null ? null : state.symptom().name().toLowerCase(Locale.ROOT));
+        ledger.recordOutage(endpoints.name(endpoint), state);
     }
 
     // ---- Messages ended by the policy
--- a/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
+++ b/relay/src/test/java/yewpath/ledger/FinishedMessagesTest.java
@@ -20,7 +20,7 @@
     private static final ClockReading FIRST_CLOCK = new ClockReading("boot", 5 * SECOND_MICROS,
         5 * SECOND_MICROS);
 
-    private static Ledger open(Path folder, ClockReading clock) throws IOException {
+    static Ledger open(Path folder, ClockReading clock) throws IOException {
         return new Ledger(folder, MAX_LIVE_BYTES, COMPACT_AT_BYTES, 512, clock);
     }
 
