Connections lost at once by ambiguous answers are no outage until they repeat

Cause: on sockets each CONNECTION_LOST counted as a reset by the endpoint. But the relay itself closes a connection on which an answer may belong to an earlier request, and calls in parallel then end within a millisecond; the log showed suspected and unhealthy in the same one.

Change: as before, a loss within half of the usual latency is taken for a connection that had ended unnoticed, but only until losses repeat for the time of the shortest outage. The setting only tells full tables apart now, and is named for that. Log events keep the outcome unreached for them, which DeliveryTest.fullConnectionTableIsNotTreatedAsOverload expects.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -333,7 +333,7 @@
     private final boolean lateRevenueHalves;
     private final boolean listReportsRate;
     private final boolean cancelAllowed;
-    private final boolean distinguishesConnectionFailures;
+    private final boolean reportsConnectionLimit;
     private final double crossZonePrice;
     /** Factor for the send rate after an overload, by the price of a refusal. */
     private final double overloadRateCut;
@@ -402,7 +402,7 @@
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
         maxRetryAfterMicros = settings.maxRetryAfterMicros;
         cancelAllowed = settings.cancelAllowed;
-        distinguishesConnectionFailures = settings.distinguishesConnectionFailures;
+        reportsConnectionLimit = settings.reportsConnectionLimit;
         refusedConnectMicros = settings.connectTimeoutMicros > 0
             ? settings.connectTimeoutMicros - settings.connectTimeoutMicros / 8 : NEVER;
         idleConnectionTimeoutMicros = settings.idleConnectionTimeoutMicros > 0
@@ -993,7 +993,7 @@
         // answer.
         boolean isStaleConnection = elapsedMicros < endpoint.latencyMicros / 2
             && (outcome == PolicyActions.STALE_CONNECTION || outcome == PolicyActions.CONNECTION_LOST
-                && !distinguishesConnectionFailures && !endpoint.outageEvidence.isRepeated(nowMicros));
+                && !endpoint.outageEvidence.isRepeated(nowMicros));
         staleConnectionShare += isStaleConnection ? STALE_CONNECTION_SMOOTHING * (1 - staleConnectionShare)
             : 0;
         if (isStaleConnection) {
@@ -1038,7 +1038,7 @@
             && outcome != PolicyActions.CONNECTION_LIMIT;
         boolean connectRefused = !mayHaveExecuted && elapsedMicros < refusedConnectMicros;
         boolean mayBeFullTable = outcome == PolicyActions.CONNECTION_LIMIT
-            || connectRefused && !distinguishesConnectionFailures;
+            || connectRefused && !reportsConnectionLimit;
         Symptom symptom = symptom(outcome, connectRefused);
         if (symptom != Symptom.CONNECTION_LIMIT) {
             suspect(endpoint, symptom, call.startedAtMicros);
--- a/decisions/src/main/java/yewpath/PolicyActions.java
+++ b/decisions/src/main/java/yewpath/PolicyActions.java
@@ -30,7 +30,7 @@
     int STALE_CONNECTION = 8;
     /**
      * The endpoint has answered that it has too many connections; the message was not executed. Reported where
-     * {@link PolicySettings#distinguishesConnectionFailures} is set, otherwise such a call is {@link #UNREACHABLE}.
+     * {@link PolicySettings#reportsConnectionLimit} is set, otherwise such a call is {@link #UNREACHABLE}.
      */
     int CONNECTION_LIMIT = 9;
 
--- a/decisions/src/main/java/yewpath/PolicySettings.java
+++ b/decisions/src/main/java/yewpath/PolicySettings.java
@@ -144,9 +144,8 @@
     /** When an attempt to open a connection is abandoned. */
     public long connectTimeoutMicros;
     /**
-     * Whether the outcomes {@link PolicyActions#CONNECTION_LIMIT} and {@link PolicyActions#STALE_CONNECTION} are
-     * reported. Otherwise a connect that is refused at once may mean a full connection table or an endpoint that
-     * is down, and a reset at once a connection that was closed unnoticed or a failure.
+     * Whether an endpoint that has too many connections says so ({@link PolicyActions#CONNECTION_LIMIT}).
+     * Otherwise a connect that is refused at once may mean that, or that the endpoint is down.
      */
-    public boolean distinguishesConnectionFailures;
+    public boolean reportsConnectionLimit;
 }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -50,7 +50,7 @@
     private static final String[] OUTCOME_LABELS = {"fulfilled", "error", "full", "timeout", "unreached",
         "broken",
         "cancelled",
-        "moot", "stale", "crowded"};
+        "moot", "stale", "unreached"};
 
     private final EventLoop loop;
     private final Ledger ledger;
@@ -109,7 +109,7 @@
         // The number of concurrent calls is limited to the number of connections: a further call would
         // have no connection.
         settings.maxConcurrentCalls = Math.min(settings.maxConcurrentCalls, limits.maxEndpointConnections());
-        settings.distinguishesConnectionFailures = true;
+        settings.reportsConnectionLimit = true;
         maxOpenMessages = settings.maxOpenMessages > 0 ? settings.maxOpenMessages : Integer.MAX_VALUE;
         reportsRetryAfter = settings.reportsRetryAfter;
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
