A told wait over 2.5 s is evidence of an outage, but makes no endpoint unhealthy

Change: the wait is evidence only. The first calls after it are spread over a whole probe interval and go one at a time until a delivery, which starts the slow start.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -791,7 +791,8 @@
     private long availableAtMicros(Endpoint endpoint) {
         RateLimiter limiter = endpoint.limiter;
         if (endpoint.phase != PHASE_UP || endpoint.callsInFlight >= endpoint.callLimit
-            || endpoint.unhealthySinceMicros >= 0 && endpoint.callsInFlight > 0
+            || endpoint.callsInFlight > 0
+                && (endpoint.unhealthySinceMicros >= 0 || endpoint.outageEvidence.symptom() == Symptom.SHUT)
             || endpoint.recoveringSinceMicros >= 0 && endpoint.callsInFlight >= endpoint.recoveryCallLimit) {
             return NEVER;
         }
@@ -954,7 +955,7 @@
         // one moment too.
         limiter.tokens -= (1 - 1.0 / relayCount) * random();
         double spreadMicros = retryAfterMicros > LONG_RETRY_AFTER_MICROS
-            ? probeIntervalMicros(call.endpoint) - 2 * SECOND : 0;
+            ? probeIntervalMicros(call.endpoint) : 0;
         double pauseMicros = max(overloadPauseMicros(estimatedRate(limiter), limiter.overloadRun),
             spreadMicros);
         limiter.waitUntilMicros = max(limiter.waitUntilMicros, nowMicros + retryAfterMicros
@@ -1171,7 +1172,8 @@
         endpoint.outageEvidence.recordFailure(symptom, callStartedAtMicros, nowMicros);
         if (endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0) {
             reportOutage(endpoint, Phase.SUSPECTED, endpoint.outageEvidence.symptom());
-            if (symptom != Symptom.CONNECT_REFUSED && collapseBudgetShare(endpoint.limiter) < 1) {
+            if (symptom != Symptom.CONNECT_REFUSED && symptom != Symptom.SHUT
+                && collapseBudgetShare(endpoint.limiter) < 1) {
                 schedule(nowMicros + OutageEvidence.SHORTEST_OUTAGE_MICROS,
                     () -> markUnhealthyIfUnanswered(endpoint));
             }
@@ -1205,13 +1207,11 @@
         }
     }
 
-    /** A long wait means that the destination is shut; it returns as from any outage. */
+    /** A long wait may mean that the destination is shut; it returns as from any outage then. */
     private void recordShut(Call call) {
         for (Endpoint other : call.destination.endpoints) {
             if (other.limiter == call.endpoint.limiter) {
                 suspect(other, Symptom.SHUT, call.startedAtMicros);
-                markUnhealthy(other, Symptom.SHUT, false);
-                other.nextProbeAtMicros = other.limiter.waitUntilMicros;
             }
         }
     }
--- a/decisions/src/main/java/yewpath/OutageEvidence.java
+++ b/decisions/src/main/java/yewpath/OutageEvidence.java
@@ -41,9 +41,9 @@
         return (failures - 1) * (nowMicros - firstFailureAtMicros) >= SHORTEST_OUTAGE_MICROS;
     }
 
-    /** Returns the first failure since the last delivery. */
+    /** Returns the first failure since the last delivery; null if there was none. */
     Symptom symptom() {
-        return symptom;
+        return failures > 0 ? symptom : null;
     }
 
     /** Returns when the last failure became known. */
