Evidence of an outage: a sibling's recovery is no delivery, a restored warm-up keeps its time

Found by reading. beginRecovery recorded a delivery for endpoints that recover along with the one that answered, so a failure of theirs within the next second could be disproved by it; a restored warm-up was reported to the ledger with the time of the restart, so a second restart began it anew; the log gave a disproof as the reason for the end of a warm-up. No test failed by them; decisions verify is green.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -1144,9 +1144,9 @@
             Arrays.stream(call.destination.endpoints)
                 .filter(other -> other == endpoint || other.limiter == endpoint.limiter
                     && (other.unhealthySinceMicros >= 0 || other.outageEvidence.isPending()))
-                .forEach(this::beginRecovery);
+                .forEach(other -> beginRecovery(other, nowMicros));
         } else {
-            reportOutage(endpoint, Phase.NONE, disproof);
+            reportOutage(endpoint, Phase.NONE, endpoint.outageEvidence.isPending() ? disproof : null);
         }
         endpoint.outageEvidence.recordDelivery(nowMicros);
         markHealthy(endpoint);
@@ -1241,8 +1241,7 @@
         }
         endpoint.reportedOutage = state;
         if (state.phase() == Phase.RECOVERING) {
-            beginRecovery(endpoint);
-            endpoint.recoveringSinceMicros = state.sinceMicros();
+            beginRecovery(endpoint, state.sinceMicros());
         } else if (state.phase() != Phase.NONE) {
             endpoint.outageEvidence.recordFailure(state.symptom(), state.sinceMicros(), state.sinceMicros());
             if (state.phase() == Phase.UNHEALTHY) {
@@ -1322,13 +1321,14 @@
         reportOutage(endpoint, Phase.UNHEALTHY, symptom);
     }
 
-    private void beginRecovery(Endpoint endpoint) {
-        endpoint.recoveringSinceMicros = endpoint.recoveryTokensAtMicros = nowMicros;
+    private void beginRecovery(Endpoint endpoint, long returnedAtMicros) {
+        endpoint.recoveringSinceMicros = returnedAtMicros;
+        endpoint.recoveryTokensAtMicros = nowMicros;
         endpoint.recoveryCallLimit = 1;
         endpoint.recoveryTokens = random() / max(1, endpoint.limiter.endpointsUp);
         endpoint.failureShare = endpoint.consecutiveFailures = 0;
         Symptom symptom = endpoint.outageEvidence.symptom();
-        endpoint.outageEvidence.recordDelivery(nowMicros);
+        endpoint.outageEvidence.clear();
         reportOutage(endpoint, Phase.RECOVERING, symptom);
         markHealthy(endpoint);
     }
--- a/decisions/src/main/java/yewpath/OutageEvidence.java
+++ b/decisions/src/main/java/yewpath/OutageEvidence.java
@@ -88,6 +88,11 @@
     /** Records a delivery, which ends the evidence. */
     void recordDelivery(long nowMicros) {
         lastDeliveryAtMicros = nowMicros;
+        clear();
+    }
+
+    /** Ends the evidence without a delivery. */
+    void clear() {
         failures = 0;
     }
 }
