Keys pause after a restart from the end of the restoring, not from the relay's construction

Cause: keysPausedUntilMicros was set before the ledger's messages were restored. Beside load the restoring came 115 to 150 ms later, so a key paused 250 to 285 ms after the line that restored its first message; the test asks for 300 of the 400 ms. Change: the pause begins after the last message is restored.

--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -113,7 +113,6 @@
         maxOpenMessages = settings.maxOpenMessages > 0 ? settings.maxOpenMessages : Integer.MAX_VALUE;
         reportsRetryAfter = settings.reportsRetryAfter;
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
-        keysPausedUntilMicros = ledger.hasHistory() ? loop.nowMicros() + settleAfterUncertainMicros : 0;
         messages = new MessageTable(settleAfterUncertainMicros);
         shutdown = new Shutdown(loop, limits);
         notices = new NoticeSender(loop, limits, config.discoveryAddress, this::onNoticeAcknowledged);
@@ -131,6 +130,7 @@
             discoveryClient.startWatch();
         }
         ledger.entries().forEach(this::restore);
+        keysPausedUntilMicros = ledger.hasHistory() ? loop.nowMicros() + settleAfterUncertainMicros : 0;
         endpoints.restoreOutages();
         loop.schedule(limits.connectTimeoutMicros(), this::logMissingList);
         loop.requestRound();
