A request that was received in time isn't refused after a standstill

Cause: the I/O thread runs due timers before it looks for ready channels, so the timeout of a request judged a client whose bytes lay unread in the socket, or whose request still waited for its turn. Evidence: IntakeTest.requestReceivedInTimeIsNotRefusedAfterAStandstill, new: 408 in three of three runs before. Change: the relay reads before it refuses a request, and doesn't refuse while the request waits for its turn.

--- a/relay/src/main/java/yewpath/intake/ClientConnection.java
+++ b/relay/src/main/java/yewpath/intake/ClientConnection.java
@@ -118,13 +118,26 @@
                 : limits.silentClientTimeoutMicros())
             && hasSameEvictionCostAfterReading(nowMicros)) {
             close(CloseReason.IDLE);
-        } else if (!lingering && !responsePending && !isBetweenRequests()
-            && nowMicros - (hasSentRequest ? lastActivityMicros : connectedAtMicros) > limits
-                .requestTimeoutMicros()) {
+        } else if (isRequestOverdue(nowMicros) && isRequestOverdueAfterReading(nowMicros)) {
             refuse(408);
         }
     }
 
+    private boolean isRequestOverdue(long nowMicros) {
+        return !lingering && !responsePending && !isBetweenRequests()
+            && nowMicros - (hasSentRequest ? lastActivityMicros : connectedAtMicros) > limits
+                .requestTimeoutMicros();
+    }
+
+    /**
+     * Reads what has been received meanwhile; returns whether the request is still overdue, and not because its
+     * rest waits for a turn. The size of a request is limited, so a client can't make use of that.
+     */
+    private boolean isRequestOverdueAfterReading(long nowMicros) {
+        connection.readAvailable();
+        return !connection.isClosed() && !turnScheduled && isRequestOverdue(nowMicros);
+    }
+
     /**
      * Closes the connection if it is idle, after reading what has been received meanwhile. A client whose
      * request crosses the close can conclude that the request was not read, and repeat it. A new connection
--- a/relay/src/test/java/yewpath/IntakeTest.java
+++ b/relay/src/test/java/yewpath/IntakeTest.java
@@ -194,6 +194,24 @@
         }
     }
 
+    /**
+     * Guards against refusing a request as incomplete that was received in time, but not read yet, since the relay
+     * was suspended.
+     */
+    @Test
+    public void requestReceivedInTimeIsNotRefusedAfterAStandstill() throws Exception {
+        String request = RelayFixture.messageRequest("st1", "status", 1, 7_900, "x");
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request.substring(0, 20).getBytes(StandardCharsets.ISO_8859_1));
+            RelayFixture.pause(300);
+            SuspendedRelay suspended = new SuspendedRelay(fixture);
+            socket.getOutputStream().write(request.substring(20).getBytes(StandardCharsets.ISO_8859_1));
+            RelayFixture.pause(2_500);
+            suspended.resume();
+            assertEquals(RelayFixture.readResponse(socket).status(), 202);
+        }
+    }
+
     /** Guards against a deadlock with a client that sends its body only after the response 100 Continue. */
     @Test
     public void requestsTheBodyOfAClientThatExpectsContinue() throws Exception {
