Test servers run on pooled threads: a new thread for each connection delayed beside load

Cause: LargeFleetTest.thousandsOfEndpointsFitTheSmallestLimits has 2,048 connections to one test server, which started a thread for each. Thread.start waits until the new thread has run, some 5 ms beside load: 210 calls a second, so messages expired after 7.9 s. Evidence: beside 40 busy processes on 10 cores failed in three of three runs, in four of five; the relay's I/O thread had used 1.6 s of processor in 9.4 s and stood in epoll in 9 of 13 samples. Change: RelayFixture runs its background work on a cached pool. No check, bound or setting of a test is changed.

--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -109,6 +111,13 @@
         };
     }
 
+    /** Threads are used again: beside load, each new one delays the thread that starts it. */
+    private static final ExecutorService BACKGROUND_THREADS = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    });
+
     /** An HTTP server that computes each response from the request and records the requests it read. */
     static final class StubServer implements AutoCloseable {
         final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
@@ -124,12 +133,12 @@
         StubServer(Function<ReceivedRequest, String> responder, int port) throws IOException {
             this.responder = responder;
             listener = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
-            thread(() -> {
+            runInBackground(() -> {
                 while (true) {
                     Socket socket = listener.accept();
                     sockets.add(socket);
                     int number = connections.incrementAndGet();
-                    thread(() -> serve(socket, number));
+                    runInBackground(() -> serve(socket, number));
                 }
             });
         }
@@ -325,7 +334,7 @@
             port = free.getLocalPort();
         }
         discovery = new StubServer(this::platform);
-        thread(() -> {
+        runInBackground(() -> {
             while (!discovery.listener.isClosed()) {
                 LockSupport.parkNanos(1_000_000_000);
                 if (watchKeepAlive) {
@@ -714,16 +723,14 @@
         boolean isMet() throws Exception;
     }
 
-    private static void thread(IoTask work) {
-        Thread thread = new Thread(() -> {
+    private static void runInBackground(IoTask work) {
+        BACKGROUND_THREADS.execute(() -> {
             try {
                 work.run();
             } catch (IOException | UncheckedIOException closed) {
                 return;
             }
         });
-        thread.setDaemon(true);
-        thread.start();
     }
 
     @Override
