The budget of a recovering destination is computed by a class of its own, RecoveryBudget

Change: RecoveryBudget holds the warm-up share, the mean within the collapse budget and their constants. markUnhealthy takes no third parameter any more, which followed from the symptom at every call.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -295,21 +295,6 @@
 
     // ---- Values derived from the settings
 
-    /** Defaults for settings about the return of a destination from an outage. */
-    private static final double DEFAULT_WARM_UP_INITIAL_SHARE = 0.2;
-    private static final long DEFAULT_WARM_UP_MICROS = 15 * SECOND;
-    private static final double DEFAULT_COLLAPSE_MULTIPLE = 2;
-    private static final long DEFAULT_COLLAPSE_WINDOW_MICROS = 3 * SECOND;
-    /** The least part of the collapse multiple that all relays together send. */
-    private static final double MIN_RECOVERY_PART = 0.85;
-    /**
-     * By how many standard deviations the mean of the calls of all relays stays below the collapse budget; more
-     * the larger the budget is, since a small destination has few messages waiting.
-     */
-    private static final double MIN_RECOVERY_MARGIN_DEVIATIONS = 2;
-    private static final double MAX_RECOVERY_MARGIN_DEVIATIONS = 3;
-    /** Collapse budgets are N + 3 sqrt(N) + 3 below this, and N + 2 sqrt(N) + 2 from this on. */
-    private static final double LARGE_BUDGET_CALLS = 30;
     /** Factor for a rate that is listed as approximate or not listed. */
     private static final double APPROXIMATE_RATE_CONFIDENCE = 1 / 1.5;
     /**
@@ -344,11 +329,8 @@
     private final double loneMessageRate;
     /** Factor for a rate that is only approximately known. */
     private final double rateConfidence;
-    private final double warmUpInitialShare;
-    private final double collapseMultiple;
+    private final RecoveryBudget recoveryBudget;
     private final long maxRetryAfterMicros;
-    private final long warmUpMicros;
-    private final long collapseWindowMicros;
     private final long settleAfterUncertainMicros;
     private final long listRetryMicros;
     private final long idleConnectionTimeoutMicros;
@@ -392,13 +374,7 @@
         listReportsRate = settings.listReportsRate;
         rateConfidence = settings.listedRateIsApproximate || !listReportsRate ? APPROXIMATE_RATE_CONFIDENCE
             : 1;
-        warmUpInitialShare = settings.warmUpInitialShare > 0 ? settings.warmUpInitialShare
-            : DEFAULT_WARM_UP_INITIAL_SHARE;
-        warmUpMicros = settings.warmUpMicros > 0 ? settings.warmUpMicros : DEFAULT_WARM_UP_MICROS;
-        collapseMultiple = settings.collapseMultiple > 0 ? settings.collapseMultiple
-            : DEFAULT_COLLAPSE_MULTIPLE;
-        collapseWindowMicros = settings.collapseWindowMicros > 0 ? settings.collapseWindowMicros
-            : DEFAULT_COLLAPSE_WINDOW_MICROS;
+        recoveryBudget = new RecoveryBudget(settings, relayCount);
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
         maxRetryAfterMicros = settings.maxRetryAfterMicros;
         cancelAllowed = settings.cancelAllowed;
@@ -926,7 +902,7 @@
             : min(max(1, limiter.sendRate * 0.5),
                 limiter.tokens + refillRate(limiter) * (nowMicros - limiter.tokensAtMicros) / SECOND);
         limiter.tokensAtMicros = nowMicros;
-        if (nowMicros - endpoint.recoveringSinceMicros > warmUpMicros) {
+        if (recoveryBudget.isWarm(nowMicros - endpoint.recoveringSinceMicros)) {
             endpoint.recoveringSinceMicros = -1;
         } else if (endpoint.recoveringSinceMicros >= 0) {
             double rate = recoveryRate(endpoint, nowMicros - endpoint.recoveringSinceMicros);
@@ -1051,7 +1027,7 @@
         if (symptom == Symptom.CONNECTION_LIMIT) {
             suspect(endpoint, symptom, call.startedAtMicros);
         }
-        if (connectRefused && !mayBeFullTable && collapseBudgetShare(endpoint.limiter) < 1) {
+        if (connectRefused && !mayBeFullTable && hasSmallRecoveryShare(endpoint.limiter)) {
             markUntestedUnhealthy(call);
         }
         endpoint.failureShare += FAILURE_SMOOTHING * (1 - endpoint.failureShare);
@@ -1071,7 +1047,7 @@
             for (Endpoint other : call.destination.endpoints) {
                 if (other == endpoint || connectTimedOut && other.limiter == endpoint.limiter
                     && other.lastAnswerAtMicros < call.startedAtMicros) {
-                    markUnhealthy(other, symptom, mayHaveExecuted);
+                    markUnhealthy(other, symptom);
                 }
             }
         }
@@ -1173,7 +1149,7 @@
         if (endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0) {
             reportOutage(endpoint, Phase.SUSPECTED, endpoint.outageEvidence.symptom());
             if (symptom != Symptom.CONNECT_REFUSED && symptom != Symptom.SHUT
-                && collapseBudgetShare(endpoint.limiter) < 1) {
+                && hasSmallRecoveryShare(endpoint.limiter)) {
                 schedule(nowMicros + OutageEvidence.SHORTEST_OUTAGE_MICROS,
                     () -> markUnhealthyIfUnanswered(endpoint));
             }
@@ -1187,8 +1163,7 @@
     private void markUnhealthyIfUnanswered(Endpoint endpoint) {
         if (endpoint.unhealthySinceMicros < 0 && endpoint.recoveringSinceMicros < 0
             && endpoint.outageEvidence.isUnanswered(nowMicros)) {
-            markUnhealthy(endpoint, endpoint.outageEvidence.symptom(),
-                endpoint.outageEvidence.symptom().mayHaveExecuted);
+            markUnhealthy(endpoint, endpoint.outageEvidence.symptom());
         }
     }
 
@@ -1202,7 +1177,7 @@
                 && other.lastAnswerAtMicros < nowMicros - OutageEvidence.SHORTEST_OUTAGE_MICROS
                 && other.unhealthySinceMicros < 0 && other.recoveringSinceMicros < 0) {
                 suspect(other, Symptom.OTHER_REFUSED, call.startedAtMicros);
-                markUnhealthy(other, Symptom.OTHER_REFUSED, false);
+                markUnhealthy(other, Symptom.OTHER_REFUSED);
             }
         }
     }
@@ -1236,7 +1211,7 @@
     public void restoreOutage(int endpointIndex, OutageState state) {
         Endpoint endpoint = endpoints[endpointIndex];
         if (state.isExpired(nowMicros)
-            || state.phase() == Phase.RECOVERING && nowMicros - state.sinceMicros() > warmUpMicros) {
+            || state.phase() == Phase.RECOVERING && recoveryBudget.isWarm(nowMicros - state.sinceMicros())) {
             return;
         }
         endpoint.reportedOutage = state;
@@ -1245,7 +1220,7 @@
         } else if (state.phase() != Phase.NONE) {
             endpoint.outageEvidence.recordFailure(state.symptom(), state.sinceMicros(), state.sinceMicros());
             if (state.phase() == Phase.UNHEALTHY) {
-                markUnhealthy(endpoint, state.symptom(), state.symptom().mayHaveExecuted);
+                markUnhealthy(endpoint, state.symptom());
             }
         }
     }
@@ -1271,8 +1246,6 @@
     private static final double STALE_CONNECTION_DECAY = 0.97;
     /** Calls per second. */
     private static final double MIN_PROBE_RATE = 0.01;
-    /** The smallest number of calls in a collapse window that is calculated with. */
-    private static final double MIN_COUNTED_CALLS = 0.25;
     private static final long MIN_PROBE_INTERVAL_MICROS = 400 * MILLISECOND;
     /** The longest interval between the probes of a relay, while this many relays or fewer probe. */
     private static final long MAX_PROBE_INTERVAL_MICROS = 2500 * MILLISECOND;
@@ -1306,13 +1279,13 @@
     private double staleConnectionShare;
     private double usualLatencyMicros = DEFAULT_LATENCY_MICROS;
 
-    private void markUnhealthy(Endpoint endpoint, Symptom symptom, boolean mayHaveExecuted) {
+    private void markUnhealthy(Endpoint endpoint, Symptom symptom) {
         if (endpoint.unhealthySinceMicros < 0) {
             actions.endpointHealthChanged(endpoint.index, false);
         }
         endpoint.unhealthySinceMicros = nowMicros;
         endpoint.recoveringSinceMicros = -1;
-        endpoint.mayHaveExecuted = mayHaveExecuted;
+        endpoint.mayHaveExecuted = symptom.mayHaveExecuted;
         // Random starts, as most relays notice an outage at about the same time, and as relays with little
         // traffic would hardly ever earn a whole call.
         endpoint.destination.earnedCalls = random();
@@ -1358,40 +1331,13 @@
         return limiter.reportedLimit > 0 ? limiter.reportedLimit : estimatedRate(limiter) * rateConfidence;
     }
 
-    /**
-     * Returns what all relays together send to a recovering destination by themselves, as a multiple of its full
-     * capacity: half of what leaves a margin for chance below the collapse budget. Arriving messages earn as
-     * much again.
-     */
     private double recoveryMultiple(RateLimiter limiter, long recoveringForMicros) {
-        // The budget of a window depends on the capacity at its beginning, so calls follow the capacity half a window
-        // later.
-        double multiple = collapseMultiple * warmUpShare(recoveringForMicros - collapseWindowMicros / 2);
-        double calls = max(MIN_COUNTED_CALLS,
-            multiple * recoveringCapacity(limiter) * collapseWindowMicros / SECOND);
-        return multiple * max(MIN_RECOVERY_PART, meanCallsWithinBudget(calls) / calls) / 2;
+        return recoveryBudget.sentMultiple(recoveringCapacity(limiter), recoveringForMicros);
     }
 
-    /**
-     * Returns the mean of a random number of calls that stays within the collapse budget.
-     *
-     * @param calls the calls that the settings allow in a collapse window
-     */
-    private static double meanCallsWithinBudget(double calls) {
-        double root = Math.sqrt(calls);
-        double budget = calls < LARGE_BUDGET_CALLS ? calls + 3 * root + 3 : calls + 2 * root + 2;
-        double deviations = MIN_RECOVERY_MARGIN_DEVIATIONS
-            + (MAX_RECOVERY_MARGIN_DEVIATIONS - MIN_RECOVERY_MARGIN_DEVIATIONS)
-                * min(1, calls / LARGE_BUDGET_CALLS);
-        // Solves mean + deviations * sqrt(mean) = budget.
-        double rootOfMean = (Math.sqrt(deviations * deviations + 4 * budget) - deviations) / 2;
-        return rootOfMean * rootOfMean;
-    }
-
-    /** Returns the calls in a collapse window that are this relay's even share at a cold destination. */
-    private double collapseBudgetShare(RateLimiter limiter) {
-        return meanCallsWithinBudget(collapseMultiple * warmUpInitialShare * recoveringCapacity(limiter)
-            * collapseWindowMicros / SECOND) / relayCount;
+    /** Whether this relay's even share of the calls to the cold destination or endpoint is less than one call. */
+    private boolean hasSmallRecoveryShare(RateLimiter limiter) {
+        return recoveryBudget.callsPerRelay(recoveringCapacity(limiter)) < 1;
     }
 
     /**
@@ -1410,12 +1356,6 @@
         }
     }
 
-    /** Returns the share of its capacity that a destination has the given time after its return. */
-    private double warmUpShare(long recoveringForMicros) {
-        return warmUpInitialShare
-            + (1 - warmUpInitialShare) * max(0, min(1, recoveringForMicros / (double) warmUpMicros));
-    }
-
     private long probeIntervalMicros(Endpoint endpoint) {
         double intervalMicros = SECOND / max(MIN_PROBE_RATE, recoveryRate(endpoint, 0));
         // The probes of all relays add up: at most one every 2.5 s from each of many relays would overload a
@@ -1443,7 +1383,7 @@
                             * (SILENCE_LATENCIES + SILENCE_LATENCIES_OF_ONE_CALL / endpoint.callsInFlight));
                 if (nowMicros >= silentAtMicros) {
                     endpoint.outageEvidence.recordFailure(Symptom.SILENCE, nowMicros, nowMicros);
-                    markUnhealthy(endpoint, Symptom.SILENCE, true);
+                    markUnhealthy(endpoint, Symptom.SILENCE);
                     markReady(call.destination);
                 } else if (endpoint.silenceCheckAtMicros <= nowMicros
                     || silentAtMicros < endpoint.silenceCheckAtMicros) {
@@ -1718,7 +1658,7 @@
             // Endpoint listed while all others of the destination are down: without this, all relays would
             // send it all their waiting messages at once.
             endpoint.outageEvidence.recordFailure(Symptom.LISTED_DURING_OUTAGE, nowMicros, nowMicros);
-            markUnhealthy(endpoint, Symptom.LISTED_DURING_OUTAGE, false);
+            markUnhealthy(endpoint, Symptom.LISTED_DURING_OUTAGE);
             endpoint.nextProbeAtMicros = nowMicros + (long) (probeIntervalMicros(endpoint) * random());
         }
     }
@@ -1900,7 +1840,8 @@
             send(message, call);
             if (call.messages.size() >= destination.maxBatchSize || endpoint.unhealthySinceMicros >= 0
                 || endpoint.recoveringSinceMicros >= 0 && endpoint.recoveryTokens < FURTHER_MESSAGE_WEIGHT
-                    - MAX_RECOVERY_DEBT * warmUpShare(nowMicros - endpoint.recoveringSinceMicros)) {
+                    - MAX_RECOVERY_DEBT
+                        * recoveryBudget.warmUpShare(nowMicros - endpoint.recoveringSinceMicros)) {
                 break;
             }
         }
