FinishedMessages and KnownOutages select their latest records by one loop

Cause: both had the same loop that takes the latest records within a number of bytes. Change: LatestRecords.within. Result: KnownOutagesTest and FinishedMessagesTest pass.

--- a/relay/src/main/java/yewpath/ledger/FinishedMessages.java
+++ b/relay/src/main/java/yewpath/ledger/FinishedMessages.java
@@ -1,6 +1,6 @@
 package yewpath.ledger;
 
-import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -90,17 +90,6 @@
      * @param maxBytes the limit on the size of all records together
      */
     Collection<byte[]> records(long maxBytes) {
-        ArrayDeque<byte[]> records = new ArrayDeque<>();
-        FinishedMessage[] ordered = messages.values().toArray(FinishedMessage[]::new);
-        long bytes = 0;
-        for (int i = ordered.length - 1; i >= 0; i--) {
-            byte[] record = RecordFormat.finished(ordered[i]);
-            bytes += record.length;
-            if (bytes > maxBytes) {
-                break;
-            }
-            records.addFirst(record);
-        }
-        return records;
+        return LatestRecords.within(maxBytes, new ArrayList<>(messages.values()), RecordFormat::finished);
     }
 }
--- a/relay/src/main/java/yewpath/ledger/KnownOutages.java
+++ b/relay/src/main/java/yewpath/ledger/KnownOutages.java
@@ -1,11 +1,9 @@
 package yewpath.ledger;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import yewpath.OutageState;
 import yewpath.OutageState.Phase;
@@ -51,17 +49,7 @@
      * @param maxBytes the limit on the size of all records together
      */
     Collection<byte[]> records(long maxBytes) {
-        ArrayDeque<byte[]> records = new ArrayDeque<>();
-        long bytes = 0;
-        List<String> endpoints = new ArrayList<>(states.keySet());
-        for (int i = endpoints.size() - 1; i >= 0; i--) {
-            byte[] record = RecordFormat.outage(endpoints.get(i), states.get(endpoints.get(i)));
-            bytes += record.length;
-            if (bytes > maxBytes) {
-                break;
-            }
-            records.addFirst(record);
-        }
-        return records;
+        return LatestRecords.within(maxBytes, new ArrayList<>(states.keySet()),
+            endpoint -> RecordFormat.outage(endpoint, states.get(endpoint)));
     }
 }
