FaultSoakTest and OutageSoakTest share the record of messages and outcomes

Cause: OutageSoakTest repeated the set-up, the notices and the outcome checks of FaultSoakTest. Change: SoakOutcomes has them, with the same bounds, checks and order of random choices.

--- a/relay/src/test/java/yewpath/OutageSoakTest.java
+++ b/relay/src/test/java/yewpath/OutageSoakTest.java
@@ -1,21 +1,13 @@
 package yewpath;
 
-import static org.testng.Assert.assertTrue;
 import static yewpath.RelayFixture.waitUntil;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.LongStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -29,28 +21,15 @@
     private static final int CLIENTS_PER_RELAY = 2;
     private static final int CROWD_CONNECTIONS = 150;
     private static final double CALLS_PER_SECOND = 50;
-    private static final int TIMEOUT_MILLIS = 3_000;
     private static final long FAULT_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(14);
     private static final int WARM_UP_MILLIS = 2_000;
     /** The earliest kill after SIGTERM. */
     private static final int KILL_AFTER_TERM_MILLIS = 3_700;
     private static final int RESTART_PAUSE_MILLIS = 600;
-    private static final long OUTCOME_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-    private static final long RESTART_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_100);
-    private static final Pattern NOTICE = Pattern
-        .compile("\"message\":\"([^\"]+)\",\"outcome\":\"([^\"]+)\"");
 
-    /** A message that was answered with 202. */
-    private record Accepted(int relay, long deadlineNanos) {}
-
-    private final Map<String, Accepted> accepted = new ConcurrentHashMap<>();
-    private final Map<String, Long> outcomeNanosById = new ConcurrentHashMap<>();
-    private final AtomicInteger messageCount = new AtomicInteger();
     private final List<RelayFixture> relays = new ArrayList<>();
-    private final long[] readyNanos = new long[RELAYS];
-    private final List<String> violations = new CopyOnWriteArrayList<>();
     private final List<Socket> crowd = new ArrayList<>();
-    private MessageRules rules;
+    private SoakOutcomes outcomes;
     private Random random;
     private ReturningEndpoint endpoint;
     private volatile boolean clientsRunning;
@@ -58,10 +37,7 @@
     /** {@code -Dsoak.seeds} seeds from {@code -Dsoak.first} on. */
     @DataProvider
     public Object[][] seeds() {
-        long first = Long.getLong("soak.first", 1);
-        return LongStream.range(first, first + Long.getLong("soak.seeds", 1))
-            .mapToObj(seed -> new Object[]{seed})
-            .toArray(Object[][]::new);
+        return SoakOutcomes.seeds(1);
     }
 
     /**
@@ -86,12 +62,7 @@
         for (Thread client : clients) {
             client.join();
         }
-        waitUntil("each accepted message has its outcome", 12_000,
-            () -> outcomeNanosById.keySet().containsAll(accepted.keySet()));
-        accepted.forEach(this::checkOutcomeInTime);
-        violations.addAll(rules.violations);
-        assertTrue(violations.isEmpty(), "seed " + seed + ": " + violations);
-        assertTrue(accepted.size() > 100, "only " + accepted.size() + " messages were accepted");
+        outcomes.check(seed, 100);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -106,59 +77,39 @@
     }
 
     private void startFleet(long seed) throws Exception {
-        accepted.clear();
-        outcomeNanosById.clear();
-        violations.clear();
-        messageCount.set(0);
         random = new Random(seed);
-        rules = new MessageRules() {
-            @Override
-            void messageDelivered(String id) {
-                super.messageDelivered(id);
-                outcomeNanosById.putIfAbsent(id, System.nanoTime());
-            }
-        };
+        outcomes = new SoakOutcomes(RELAYS);
         endpoint = new ReturningEndpoint(CALLS_PER_SECOND, this::execute);
         for (int i = 0; i < RELAYS; i++) {
             RelayFixture relay = new RelayFixture();
             relays.add(relay);
             relay.relayCount = RELAYS;
             relay.maxOpenMessages = 200;
-            relay.noticeResponder = this::receiveNotices;
+            relay.noticeResponder = outcomes::receiveNotices;
             relay.listEndpoint("e1", endpoint.address(), 1);
             relay.startProcess();
         }
         for (int i = 0; i < RELAYS; i++) {
             waitUntil("the relay is ready", 10_000, relays.get(i)::isReady);
-            readyNanos[i] = System.nanoTime();
+            outcomes.relayReady(i);
         }
         clientsRunning = true;
     }
 
     private String execute(RelayFixture.ReceivedRequest request) {
-        rules.attemptStarted(request.id(), false);
+        outcomes.rules.attemptStarted(request.id(), false);
         RelayFixture.pause(30);
-        rules.messageDelivered(request.id());
-        rules.attemptEnded(request.id());
+        outcomes.rules.messageDelivered(request.id());
+        outcomes.rules.attemptEnded(request.id());
         return RelayFixture.uniqueOk();
     }
 
-    private String receiveNotices(RelayFixture.ReceivedRequest request) {
-        for (Matcher notice = NOTICE.matcher(request.body); notice.find();) {
-            if (notice.group(2).equals("handed_back") && !outcomeNanosById.containsKey(notice.group(1))) {
-                rules.messageRejected(notice.group(1));
-            }
-            outcomeNanosById.putIfAbsent(notice.group(1), System.nanoTime());
-        }
-        return "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n";
-    }
-
     /** Submits messages on a connection that stays in use until the relay ends it. */
     private void submitUntilStopped(int relay, Random choices) {
         while (clientsRunning) {
             try (Socket socket = relays.get(relay).connect()) {
                 while (clientsRunning) {
-                    submitOne(relay, socket);
+                    outcomes.submit(socket, relay, 1, "x");
                     RelayFixture.pause(40 + choices.nextInt(120));
                 }
             } catch (IOException down) {
@@ -167,22 +118,6 @@
         }
     }
 
-    private void submitOne(int relay, Socket socket) throws IOException {
-        int number = messageCount.incrementAndGet();
-        String id = "m" + number;
-        long submittedNanos = System.nanoTime();
-        int status = RelayFixture
-            .exchange(socket, RelayFixture.messageRequest(id, number % 2 == 0 ? "order" : "status", 1,
-                TIMEOUT_MILLIS, "x"))
-            .status();
-        if (status == 202) {
-            accepted.put(id,
-                new Accepted(relay, submittedNanos + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS)));
-        } else {
-            rules.refusedToClients.add(id);
-        }
-    }
-
     /** Plays one outage with faults of the relays before and after the return, and checks the return. */
     private void playOutage() throws Exception {
         RelayFixture.pause(500 + random.nextInt(1_000));
@@ -199,7 +134,7 @@
         RelayFixture.pause(WARM_UP_MILLIS);
         String collapse = endpoint.firstCollapse();
         if (collapse != null) {
-            violations.add("the endpoint would have collapsed: " + collapse);
+            outcomes.rules.violations.add("the endpoint would have collapsed: " + collapse);
         }
     }
 
@@ -261,14 +196,6 @@
     private void restart(int relay) throws Exception {
         relays.get(relay).startProcess();
         waitUntil("the relay is ready again", 10_000, relays.get(relay)::isReady);
-        readyNanos[relay] = System.nanoTime();
-    }
-
-    private void checkOutcomeInTime(String id, Accepted message) {
-        long lateNanos = outcomeNanosById.get(id) - Math.max(message.deadlineNanos + OUTCOME_TOLERANCE_NANOS,
-            readyNanos[message.relay] + RESTART_TOLERANCE_NANOS);
-        if (lateNanos > 0) {
-            violations.add(id + " had its outcome " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms late");
-        }
+        outcomes.relayReady(relay);
     }
 }
