--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -94,6 +94,8 @@
         KeyQueue keyQueue;
         /** The call that carries its attempt in flight, otherwise null. */
         Call call;
+        /** Its size in a call of several messages. */
+        int callBytes;
     }
 
     /** One request to an endpoint, which carries one or several messages. */
@@ -110,6 +112,7 @@
         boolean cancelled;
         Destination destination;
         final List<Message> messages = new ArrayList<>(1);
+        long bytes;
     }
 
     /** The unfinished messages of one key in the order accepted. */
@@ -307,6 +310,7 @@
     private final MessageClass[] messageClasses;
     private final boolean[] limitPerEndpoint;
     private final int[] maxBatchSizes;
+    private final long maxCallBytes;
     private final int maxConcurrentCalls;
     private final int maxWindow;
     private final int maxUnhealthyWindow;
@@ -352,6 +356,7 @@
         messageClasses = settings.messageClasses.clone();
         limitPerEndpoint = settings.limitPerEndpoint.clone();
         maxBatchSizes = settings.maxBatchSize.clone();
+        maxCallBytes = settings.maxCallBytes > 0 ? settings.maxCallBytes : Long.MAX_VALUE;
         kindCrowdedAtMicros = new long[max(1, limitPerEndpoint.length)];
         Arrays.fill(kindCrowdedAtMicros, -NEVER);
         maxConcurrentCalls = max(1, settings.maxConcurrentCalls);
@@ -426,15 +431,17 @@
      * @param attempts attempts that an earlier process of this relay made; 0 for a new message
      * @param uncertainSinceMicros when the first of these with unknown outcome was sent, or -1 for none
      * @param uncertainZone the zone of that attempt
+     * @param callBytes its size in a call of several messages, see {@link PolicySettings#maxCallBytes}
      */
     public void messageAccepted(int index, int messageClass, int tenant, int key, int destination,
-        long expiresAtMicros, int attempts, long uncertainSinceMicros, int uncertainZone) {
+        long expiresAtMicros, int attempts, long uncertainSinceMicros, int uncertainZone, int callBytes) {
         if (index >= messages.length) {
             messages = Arrays.copyOf(messages, index * 2);
         }
         Message message = messages[index] = new Message();
         MessageClass properties = messageClasses[messageClass];
         message.index = index;
+        message.callBytes = callBytes;
         message.messageClass = messageClass;
         message.expiresAtMicros = expiresAtMicros;
         message.onTimeUntilMicros = expiresAtMicros - properties.timeToLiveMicros()
@@ -471,6 +478,13 @@
         }
     }
 
+    /** Accepts a message of unknown size. */
+    public void messageAccepted(int index, int messageClass, int tenant, int key, int destination,
+        long expiresAtMicros, int attempts, long uncertainSinceMicros, int uncertainZone) {
+        messageAccepted(index, messageClass, tenant, key, destination, expiresAtMicros, attempts,
+            uncertainSinceMicros, uncertainZone, 0);
+    }
+
     /** Puts the message at the end of its queue, or at the front if it is to be repeated. */
     private void enqueue(Message message, boolean repeated) {
         message.queued = true;
@@ -1432,6 +1446,7 @@
         message.call = call;
         endpoint.recoveryTokens -= call.messages.isEmpty() ? 1 : FURTHER_MESSAGE_WEIGHT;
         call.messages.add(message);
+        call.bytes += message.callBytes;
         call.openAttempts++;
         call.destination.sentInGeneration++;
     }
@@ -1836,6 +1851,8 @@
             if (call == null) {
                 endpoint = selectedEndpoint;
                 call = beginCall(destination, endpoint);
+            } else if (call.bytes + message.callBytes > maxCallBytes) {
+                break;
             }
             send(message, call);
             if (call.messages.size() >= destination.maxBatchSize || endpoint.unhealthySinceMicros >= 0
--- a/decisions/src/main/java/yewpath/PolicySettings.java
+++ b/decisions/src/main/java/yewpath/PolicySettings.java
@@ -111,6 +111,8 @@
     public boolean[] limitPerEndpoint = {};
     /** By endpoint kind: messages that one call may carry. */
     public int[] maxBatchSize = {};
+    /** The size of a call of several messages, at most; 0 if it is not limited. */
+    public long maxCallBytes;
     /** What a call costs that an endpoint refuses as {@link PolicyActions#OVERLOADED}. */
     public double refusalPrice;
     /** The zone of this relay; -1 if unknown. */
--- a/relay/src/main/java/yewpath/delivery/CallRequest.java
+++ b/relay/src/main/java/yewpath/delivery/CallRequest.java
@@ -9,9 +9,21 @@
 import yewpath.json.Json;
 
 /** Encodes the HTTP request of a call, for one message or a batch. */
-final class CallRequest {
+public final class CallRequest {
+    /** The names, quotation marks and separators around the values of one message of a batch. */
+    private static final int BATCH_ITEM_OVERHEAD_BYTES = 32;
+    /** A character of an id or a key takes so many bytes at most, as JSON or as UTF-8. */
+    private static final int MAX_BYTES_PER_CHARACTER = 6;
+
     private CallRequest() {}
 
+    /** Returns the size that a message takes in the body of a batch, at most. */
+    public static int maxBatchItemBytes(String id, String key, int bodyBytes) {
+        int characters = id.length() + (key == null ? 0 : key.length());
+        int encodedBodyBytes = (bodyBytes + 2) / 3 * 4;
+        return BATCH_ITEM_OVERHEAD_BYTES + MAX_BYTES_PER_CHARACTER * characters + encodedBodyBytes;
+    }
+
     /**
      * Returns the bytes of the request.
      *
--- a/relay/src/main/java/yewpath/delivery/ResponseInterpreter.java
+++ b/relay/src/main/java/yewpath/delivery/ResponseInterpreter.java
@@ -32,7 +32,7 @@
         return switch (response.status()) {
             case 200 -> PolicyActions.DELIVERED;
             case 429, 503 -> PolicyActions.OVERLOADED;
-            case 410, 504 -> PolicyActions.NOT_EXECUTED;
+            case 400, 410, 413, 504 -> PolicyActions.NOT_EXECUTED;
             default -> PolicyActions.ERROR;
         };
     }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -14,6 +14,7 @@
 import yewpath.PolicySettings;
 import yewpath.boot.PlatformSettings;
 import yewpath.delivery.Call;
+import yewpath.delivery.CallRequest;
 import yewpath.delivery.Delivery;
 import yewpath.directory.DiscoveryClient;
 import yewpath.directory.ListValidity;
@@ -110,6 +111,7 @@
         // have no connection.
         settings.maxConcurrentCalls = Math.min(settings.maxConcurrentCalls, limits.maxEndpointConnections());
         settings.reportsConnectionLimit = true;
+        settings.maxCallBytes = limits.maxBodyBytes();
         maxOpenMessages = settings.maxOpenMessages > 0 ? settings.maxOpenMessages : Integer.MAX_VALUE;
         reportsRetryAfter = settings.reportsRetryAfter;
         settleAfterUncertainMicros = settings.settleAfterUncertainMicros;
@@ -204,7 +206,8 @@
         policy.messageAccepted(message.index, messageClass,
             entry.tenant == null ? -1 : platformSettings.tenants.find(entry.tenant), message.keyIndex,
             endpoints.destinationIndex(entry.destination), entry.deadlineMicros, entry.attempts,
-            entry.uncertainSinceMicros, uncertainZone);
+            entry.uncertainSinceMicros, uncertainZone, CallRequest.maxBatchItemBytes(entry.id,
+                entry.idempotencyKey != null ? entry.idempotencyKey : entry.key, entry.body.length));
     }
 
     // ---- Rounds
