--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -9,9 +9,11 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -96,6 +98,8 @@
         Call call;
         /** Its size in a call of several messages. */
         int callBytes;
+        /** An untried message of an earlier process is not rejected for room before this; 0 for other messages. */
+        long keptUntilMicros;
     }
 
     /** One request to an endpoint, which carries one or several messages. */
@@ -553,28 +557,84 @@
         }
     }
 
+    /** The part of its time that an untried message of an earlier process has left if it is kept. */
+    private static final double KEPT_TIME_LEFT = 0.5;
+    /** With less of its time left, a message that is given up is not given up early. */
+    private static final double LATE_TIME_LEFT = 0.3;
+    /** Until when any message is kept. */
+    private long lastKeptUntilMicros;
+
+    /**
+     * Marks the messages accepted so far as those of an earlier process of this relay. New messages don't replace the
+     * untried ones of them that have enough time left: the relay took them on, and nobody submits them again.
+     */
+    public void messagesRestored() {
+        for (Message message : messages) {
+            if (message != null && !message.finished && message.attempts == 0) {
+                long timeToLiveMicros = messageClasses[message.messageClass].timeToLiveMicros();
+                long timeLeftMicros = message.expiresAtMicros - nowMicros;
+                message.keptUntilMicros = timeLeftMicros >= KEPT_TIME_LEFT * timeToLiveMicros
+                    ? message.expiresAtMicros - (long) (LATE_TIME_LEFT * timeToLiveMicros) : 0;
+                lastKeptUntilMicros = max(lastKeptUntilMicros, message.keptUntilMicros);
+            }
+        }
+    }
+
     /**
      * Rejects one message when the relay is nearly full, so that a destination that accepts nothing doesn't
      * keep out the messages of the others. It is one of the destination with the most open messages,
-     * unhealthy destinations first: the one with the lowest revenue among the newest on-time message and the
-     * oldest late message of each class and the newest message that waits for its key, since that one is sent
-     * last.
+     * unhealthy destinations first. Where all of that are kept for a time, see {@link #messagesRestored}, it is one
+     * of the next destination.
      */
     private void shedOne() {
-        Destination largest = destinationsInUse.stream()
-            .max(Comparator.comparing(this::isUnhealthy)
-                .thenComparingInt(destination -> destination.openMessages))
-            .orElse(null);
-        Message cheapest = largest == null ? null : newestWaitingForKey(largest);
-        for (int i = 0; largest != null && i < largest.queues.size(); i++) {
-            Message last = end(largest.queues.get(i), i % 2 == 1);
+        Comparator<Destination> order = Comparator.comparing(this::isUnhealthy)
+            .thenComparingInt(destination -> destination.openMessages);
+        Destination largest = destinationsInUse.stream().max(order).orElse(null);
+        Message cheapest = largest == null ? null : cheapestMessage(largest);
+        if (cheapest == null && nowMicros < lastKeptUntilMicros) {
+            cheapest = destinationsInUse.stream().sorted(order.reversed()).map(this::cheapestMessage)
+                .filter(Objects::nonNull).findFirst().orElse(null);
+        }
+        if (cheapest != null) {
+            finish(cheapest,
+                isUnhealthy(cheapest.destination) ? max(SECOND, maxRetryAfterMicros) : resubmitDelayMicros());
+        }
+    }
+
+    /**
+     * Returns the message with the lowest revenue among the newest on-time message and the oldest late message of
+     * each class and the newest message that waits for its key, since that one is sent last; null if there is none.
+     */
+    private Message cheapestMessage(Destination destination) {
+        Message cheapest = newestWaitingForKey(destination);
+        cheapest = cheapest == null || isKept(cheapest) ? null : cheapest;
+        for (int i = 0; i < destination.queues.size(); i++) {
+            Message last = endNotKept(destination.queues.get(i), i % 2 == 1);
             boolean higher = cheapest != null && last != null
                 && revenueAt(last, nowMicros + SECOND) >= revenueAt(cheapest, nowMicros + SECOND);
             cheapest = last == null || higher ? cheapest : last;
         }
-        if (cheapest != null) {
-            finish(cheapest, isUnhealthy(largest) ? max(SECOND, maxRetryAfterMicros) : resubmitDelayMicros());
+        return cheapest;
+    }
+
+    private boolean isKept(Message message) {
+        return message.attempts == 0 && nowMicros < message.keptUntilMicros;
+    }
+
+    /** Returns the queued message that is next to this end of a queue and not kept; null if there is none. */
+    private Message endNotKept(ArrayDeque<Message> queue, boolean first) {
+        Message end = end(queue, first);
+        if (end == null || !isKept(end)) {
+            return end;
+        }
+        Iterator<Message> fromEnd = first ? queue.iterator() : queue.descendingIterator();
+        while (fromEnd.hasNext()) {
+            Message message = fromEnd.next();
+            if (message.queued && !isKept(message)) {
+                return message;
+            }
         }
+        return null;
     }
 
     private Message newestWaitingForKey(Destination destination) {
--- a/decisions/src/test/java/yewpath/ScenarioTest.java
+++ b/decisions/src/test/java/yewpath/ScenarioTest.java
@@ -244,6 +244,7 @@
                             named.containsKey("doubt") ? toMicros(named.get("doubt")) : -1, 0);
                     }
                 }
+                case "restored" -> policy.messagesRestored();
                 case "withdrawn" -> policy.messageWithdrawn(first(words[2]));
                 case "list" -> {
                     if (words[2].equals("failed")) {
@@ -266,7 +267,7 @@
                     policy.endpointListEnded();
                 }
                 default -> throw new IllegalArgumentException(
-                    "an event is an outcome, take, withdrawn or list, found " + words[1]);
+                    "an event is an outcome, take, restored, withdrawn or list, found " + words[1]);
             }
         }
 
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -132,6 +132,7 @@
             discoveryClient.startWatch();
         }
         ledger.entries().forEach(this::restore);
+        policy.messagesRestored();
         keysPausedUntilMicros = ledger.hasHistory() ? loop.nowMicros() + settleAfterUncertainMicros : 0;
         endpoints.restoreOutages();
         loop.schedule(limits.connectTimeoutMicros(), this::logMissingList);
