--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -51,8 +51,8 @@
     MESSAGE_REFUSED("envelope.refused", Level.DEBUG,
         "The message was not accepted; why is closing (shutdown), disk (the state folder can't be "
             + "written), hold (too many open messages), ledger (no space left for live messages), "
-            + "unlisted (no endpoint list contains its destination) or repeated (a message with this id "
-            + "was handed back before).",
+            + "unlisted (no endpoint list contains its destination), repeated (a message with this id was "
+            + "handed back before) or taken (a message with this id and another content was accepted).",
         "id", "why"),
     MESSAGE_REPEATED("envelope.repeated", Level.DEBUG,
         "A request repeated the id of an accepted message, which is not accepted again; ended tells "
--- a/relay/src/main/java/yewpath/ledger/FinishedMessages.java
+++ b/relay/src/main/java/yewpath/ledger/FinishedMessages.java
@@ -18,8 +18,9 @@
      * @param id the request id that the client gave the message
      * @param finishedMicros when it ended, in Unix microseconds by the clock of this process
      * @param rejected whether it was rejected, so that the client may submit it again under another id
+     * @param contentFingerprint see {@link ContentFingerprint}
      */
-    public record FinishedMessage(String id, long finishedMicros, boolean rejected) {
+    public record FinishedMessage(String id, long finishedMicros, boolean rejected, int contentFingerprint) {
         private int heapBytes() {
             return HEAP_BYTES_PER_MESSAGE + id.length();
         }
@@ -81,7 +82,7 @@
     /** Converts the times of messages that another process added, by adding the difference of the clocks. */
     void shiftTimes(long offsetMicros) {
         messages.replaceAll((id, message) -> new FinishedMessage(id, message.finishedMicros + offsetMicros,
-            message.rejected));
+            message.rejected, message.contentFingerprint));
     }
 
     /**
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -418,7 +418,8 @@
     /** Adds the message of an entry to the finished ones, if it is known when it ended. */
     private void addFinished(LedgerEntry entry) {
         if (entry.finishedMicros >= 0) {
-            finishedMessages.add(new FinishedMessage(entry.id, entry.finishedMicros, entry.rejected));
+            finishedMessages.add(new FinishedMessage(entry.id, entry.finishedMicros, entry.rejected,
+                entry.contentFingerprint));
         }
     }
 }
--- a/relay/src/main/java/yewpath/ledger/LedgerEntry.java
+++ b/relay/src/main/java/yewpath/ledger/LedgerEntry.java
@@ -51,6 +51,8 @@
     public long retryAfterMicros;
     /** When the message was delivered or ended without delivery; -1 while it is open, or if unknown. */
     long finishedMicros = -1;
+    /** See {@link ContentFingerprint}; it outlives the body. */
+    public int contentFingerprint;
 
     /** Creates an entry with no attempt made and no notice owed. */
     public LedgerEntry(long number, String id, String messageClass, String tenant, String key,
@@ -64,6 +66,7 @@
         this.destination = destination;
         this.deadlineMicros = deadlineMicros;
         this.body = body;
+        contentFingerprint = ContentFingerprint.of(messageClass, destination, body);
     }
 
     /** Converts the times of an entry that another process wrote by adding the difference of the clocks. */
--- a/relay/src/main/java/yewpath/ledger/RecordFormat.java
+++ b/relay/src/main/java/yewpath/ledger/RecordFormat.java
@@ -182,6 +182,7 @@
             out.writeBoolean(entry.rejected);
             out.writeLong(entry.retryAfterMicros);
             out.writeLong(entry.finishedMicros);
+            out.writeInt(entry.contentFingerprint);
         });
     }
 
@@ -190,6 +191,7 @@
         entry.rejected = in.get() == 1;
         entry.retryAfterMicros = in.getLong();
         readFinishedMicros(entry, in);
+        entry.contentFingerprint = readFingerprint(in);
     }
 
     static byte[] clock(ClockReading reading) {
@@ -223,13 +225,20 @@
             writeString(out, message.id());
             out.writeLong(message.finishedMicros());
             out.writeBoolean(message.rejected());
+            out.writeInt(message.contentFingerprint());
         });
     }
 
     static FinishedMessage readFinished(ByteBuffer in) {
         String id = readString(in);
         long finishedMicros = in.getLong();
-        return new FinishedMessage(id, finishedMicros, in.get() == 1);
+        boolean rejected = in.get() == 1;
+        return new FinishedMessage(id, finishedMicros, rejected, readFingerprint(in));
+    }
+
+    /** Reads the last field of a record, which those of versions without fingerprints lack. */
+    private static int readFingerprint(ByteBuffer in) {
+        return in.hasRemaining() ? in.getInt() : ContentFingerprint.UNKNOWN;
     }
 
     static byte[] outage(String endpoint, OutageState state) {
--- a/relay/src/main/java/yewpath/relay/MessageTable.java
+++ b/relay/src/main/java/yewpath/relay/MessageTable.java
@@ -30,9 +30,10 @@
         return openCount;
     }
 
-    /** Whether a message with this id is in the table; an ended one with an attempt in flight is. */
-    boolean contains(String id) {
-        return ids.find(id) >= 0;
+    /** Returns the message with this id, also an ended one with an attempt in flight; null if there is none. */
+    TrackedMessage find(String id) {
+        int index = ids.find(id);
+        return index < 0 ? null : messages[index];
     }
 
     /** Returns the message under an index, or null. */
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -23,6 +23,7 @@
 import yewpath.intake.ClientListener;
 import yewpath.intake.MessageIntake;
 import yewpath.json.Json;
+import yewpath.ledger.ContentFingerprint;
 import yewpath.ledger.FinishedMessages.FinishedMessage;
 import yewpath.ledger.Ledger;
 import yewpath.ledger.LedgerEntry;
@@ -315,7 +316,7 @@
         if (reply.isClientGone()) {
             return;
         }
-        if (answerRepeat(id, reply)) {
+        if (answerRepeat(id, ContentFingerprint.of(messageClass, destination, body), reply)) {
             return;
         }
         LedgerEntry entry = ledger.createEntry(id, messageClass, tenant, affinityKey, idempotencyKey,
@@ -347,15 +348,23 @@
     /**
      * Answers a request whose message was accepted before under the same id: an open message still gets
      * exactly one outcome, and a finished one is not attempted again. The client of a rejected message may
-     * submit it under another id.
+     * submit it under another id. A request with other content is no repeat but the message of another client,
+     * which learns that it is not accepted.
      *
      * @return false if no such message is known
      */
-    private boolean answerRepeat(String id, Reply reply) {
+    private boolean answerRepeat(String id, int contentFingerprint, Reply reply) {
         FinishedMessage finished = ledger.finishedMessages().find(id, loop.nowMicros());
-        if (finished == null && !messages.contains(id)) {
+        TrackedMessage open = messages.find(id);
+        if (finished == null && open == null) {
             return false;
         }
+        int knownFingerprint = finished != null ? finished.contentFingerprint()
+            : open.entry.contentFingerprint;
+        if (ContentFingerprint.differ(knownFingerprint, contentFingerprint)) {
+            refuse(id, "taken", reply);
+            return true;
+        }
         if (finished != null && finished.rejected()) {
             refuse(id, "repeated", reply);
             return true;
--- a/relay/src/test/java/yewpath/RepeatedIdTest.java
+++ b/relay/src/test/java/yewpath/RepeatedIdTest.java
@@ -4,6 +4,8 @@
 import static yewpath.RelayFixture.CLOSE_CONNECTION;
 import static yewpath.RelayFixture.waitUntil;
 
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -105,7 +107,54 @@
         assertSentOnce(endpoint);
     }
 
+    /**
+     * Guards against 202 for a request whose message is neither accepted nor ended by a notice: another client's
+     * message has the same id.
+     */
+    @Test(dataProvider = "messageClasses")
+    public void anotherMessageUnderTheSameIdIsRefused(String messageClass) throws Exception {
+        CountDownLatch mayAnswer = new CountDownLatch(1);
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1,
+            RelayFixture.respondAfter(mayAnswer, request -> RelayFixture.uniqueOk()));
+        fixture.start();
+        assertEquals(fixture.submit("m1", messageClass, 1, WITHIN_MILLIS), 202);
+        waitUntil("the message is sent", 2_000, () -> endpoint.requests.size() == 1);
+        assertEquals(submitAnother("m1", messageClass), 503);
+        assertEquals(submitAgain("m1", messageClass), 202);
+        mayAnswer.countDown();
+        waitUntil("the message is delivered", 2_000, () -> fixture.statistic("open") == 0);
+        assertEquals(submitAnother("m1", messageClass), 503);
+        assertSentOnce(endpoint);
+    }
+
+    /** Guards against a restart that forgets the content of messages that have ended. */
+    @Test(dataProvider = "signals")
+    public void anotherMessageIsRefusedAfterARestart(String signal) throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1,
+            request -> "m1".equals(request.id()) ? RelayFixture.uniqueOk() : CLOSE_CONNECTION);
+        fixture.noticeStatus = 500;
+        fixture.start();
+        assertEquals(fixture.submit("m1", "order", 1, WITHIN_MILLIS), 202);
+        assertEquals(fixture.submit("m2", "order", 1, WITHIN_MILLIS), 202);
+        waitUntil("the messages have ended", 2_000, () -> !fixture.discovery.postRequests().isEmpty());
+        for (int restarts = 0; restarts < 2; restarts++) {
+            fixture.signal(signal);
+            fixture.process.waitFor(5, TimeUnit.SECONDS);
+            fixture.start();
+            for (String id : List.of("m1", "m2")) {
+                assertEquals(submitAnother(id, "order"), 503, id);
+                assertEquals(submitAgain(id, "order"), 202, id);
+            }
+        }
+        RelayFixture.pause(300);
+        assertEquals(endpoint.requests.size(), 2, "a message was sent again");
+    }
+
     private int submitAgain(String id, String messageClass) throws Exception {
+        return fixture.submit(id, messageClass, 1, WITHIN_MILLIS);
+    }
+
+    private int submitAnother(String id, String messageClass) throws Exception {
         return fixture.exchange(
             RelayFixture.messageRequest(id, messageClass, 1, WITHIN_MILLIS, "another body")).status();
     }
