The fingerprint of a submitted message is computed for a known id only

Cause: it was computed for each message twice, once for the check of its id and once for its ledger entry. Change: the check computes it only if a message with the id is known. Result: RepeatedIdTest and FinishedMessagesTest passed.

--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -316,7 +316,7 @@
         if (reply.isClientGone()) {
             return;
         }
-        if (answerRepeat(id, ContentFingerprint.of(messageClass, destination, body), reply)) {
+        if (answerRepeat(id, messageClass, destination, body, reply)) {
             return;
         }
         LedgerEntry entry = ledger.createEntry(id, messageClass, tenant, affinityKey, idempotencyKey,
@@ -353,7 +353,8 @@
      *
      * @return false if no such message is known
      */
-    private boolean answerRepeat(String id, int contentFingerprint, Reply reply) {
+    private boolean answerRepeat(String id, String messageClass, String destination, byte[] body,
+        Reply reply) {
         FinishedMessage finished = ledger.finishedMessages().find(id, loop.nowMicros());
         TrackedMessage open = messages.find(id);
         if (finished == null && open == null) {
@@ -361,7 +362,8 @@
         }
         int knownFingerprint = finished != null ? finished.contentFingerprint()
             : open.entry.contentFingerprint;
-        if (ContentFingerprint.differ(knownFingerprint, contentFingerprint)) {
+        if (ContentFingerprint.differ(knownFingerprint,
+            ContentFingerprint.of(messageClass, destination, body))) {
             refuse(id, "taken", reply);
             return true;
         }
