--- a/relay/src/main/java/yewpath/http/HttpMessageBuilder.java
+++ b/relay/src/main/java/yewpath/http/HttpMessageBuilder.java
@@ -60,6 +60,7 @@
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
             case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
--- a/relay/src/main/java/yewpath/ledger/ContentFingerprint.java
+++ b/relay/src/main/java/yewpath/ledger/ContentFingerprint.java
@@ -12,16 +12,21 @@
     public static final int UNKNOWN = 0;
     /** Takes the place of a fingerprint that happens to equal {@link #UNKNOWN}. */
     private static final int SUBSTITUTE = 1;
+    /** Precede the fields, so that no two sets of fields are the same bytes. */
+    private static final int ABSENT = 0;
+    private static final int PRESENT = 1;
 
     private ContentFingerprint() {}
 
-    /** Returns the fingerprint of a message. */
-    public static int of(String messageClass, String destination, byte[] body) {
+    /** Returns the fingerprint of a message; its keys may be null. */
+    public static int of(String messageClass, String destination, String key, String idempotencyKey,
+        byte[] body) {
         CRC32C checksum = new CRC32C();
-        checksum.update(messageClass.getBytes(StandardCharsets.UTF_8));
-        checksum.update(0);
-        checksum.update(destination.getBytes(StandardCharsets.UTF_8));
-        checksum.update(0);
+        for (String field : new String[]{messageClass, destination, key, idempotencyKey}) {
+            checksum.update(field == null ? ABSENT : PRESENT);
+            checksum.update(String.valueOf(field).getBytes(StandardCharsets.UTF_8));
+        }
+        checksum.update(ABSENT);
         checksum.update(body);
         int fingerprint = (int) checksum.getValue();
         return fingerprint == UNKNOWN ? SUBSTITUTE : fingerprint;
--- a/relay/src/main/java/yewpath/ledger/LedgerEntry.java
+++ b/relay/src/main/java/yewpath/ledger/LedgerEntry.java
@@ -66,7 +66,7 @@
         this.destination = destination;
         this.deadlineMicros = deadlineMicros;
         this.body = body;
-        contentFingerprint = ContentFingerprint.of(messageClass, destination, body);
+        contentFingerprint = ContentFingerprint.of(messageClass, destination, key, idempotencyKey, body);
     }
 
     /** Converts the times of an entry that another process wrote by adding the difference of the clocks. */
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -48,6 +48,7 @@
         }
     }
 
+    private static final int HTTP_CONFLICT = 409;
     /** The outcomes of {@link PolicyActions} by their names in log events, indexed by outcome. */
     private static final String[] OUTCOME_LABELS = {"fulfilled", "error", "full", "timeout", "unreached",
         "broken",
@@ -316,11 +317,11 @@
         if (reply.isClientGone()) {
             return;
         }
-        if (answerRepeat(id, messageClass, destination, body, reply)) {
-            return;
-        }
         LedgerEntry entry = ledger.createEntry(id, messageClass, tenant, affinityKey, idempotencyKey,
             destination, deadlineMicros, body);
+        if (answerRepeat(entry, reply)) {
+            return;
+        }
         String refusal = isClosing() ? "closing" : !ledger.isWritable() ? "disk"
             : messages.openCount() >= maxOpenMessages ? "hold" : !ledger.hasRoomFor(entry) ? "ledger"
                 // A message to an unlisted destination would occupy space until its deadline, and the
@@ -353,8 +354,8 @@
      *
      * @return false if no such message is known
      */
-    private boolean answerRepeat(String id, String messageClass, String destination, byte[] body,
-        Reply reply) {
+    private boolean answerRepeat(LedgerEntry submitted, Reply reply) {
+        String id = submitted.id;
         FinishedMessage finished = ledger.finishedMessages().find(id, loop.nowMicros());
         TrackedMessage open = messages.find(id);
         if (finished == null && open == null) {
@@ -362,9 +363,9 @@
         }
         int knownFingerprint = finished != null ? finished.contentFingerprint()
             : open.entry.contentFingerprint;
-        if (ContentFingerprint.differ(knownFingerprint,
-            ContentFingerprint.of(messageClass, destination, body))) {
-            refuse(id, "taken", reply);
+        if (ContentFingerprint.differ(knownFingerprint, submitted.contentFingerprint)) {
+            logRefusal(id, "taken");
+            reply.send(HTTP_CONFLICT, 0);
             return true;
         }
         if (finished != null && finished.rejected()) {
@@ -384,10 +385,14 @@
      * @param reason the reason as the log event names it
      */
     private void refuse(String id, String reason, Reply reply) {
+        logRefusal(id, reason);
+        reply.send(503, reportsRetryAfter ? policy.resubmitDelayMicros() : 0);
+    }
+
+    private static void logRefusal(String id, String reason) {
         if (Log.isEnabled(Event.MESSAGE_REFUSED)) {
             Log.log(Event.MESSAGE_REFUSED, id, reason);
         }
-        reply.send(503, reportsRetryAfter ? policy.resubmitDelayMicros() : 0);
     }
 
     /** Confirms to the clients that their messages are accepted; sent first in a round. */
