Test servers free their port before close returns

Cause: while a thread stands in accept, the system keeps the listening socket after close. ReplacedEndpointTest binds the port again at once; pooled threads, which start without a wait, have made that likelier. A loop of close and bind: 16,552 of 20,000 binds failed, none of 20,000 when the accepting thread was waited for. Change: StubServer.close waits until its accepting thread has ended.

--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -18,9 +18,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -125,6 +125,7 @@
         final AtomicInteger connections = new AtomicInteger();
         volatile Function<ReceivedRequest, String> responder;
         private final ServerSocket listener;
+        private final CountDownLatch acceptingEnded = new CountDownLatch(1);
 
         StubServer(Function<ReceivedRequest, String> responder) throws IOException {
             this(responder, 0);
@@ -133,14 +134,20 @@
         StubServer(Function<ReceivedRequest, String> responder, int port) throws IOException {
             this.responder = responder;
             listener = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
-            runInBackground(() -> {
+            runInBackground(this::acceptUntilClosed);
+        }
+
+        private void acceptUntilClosed() throws IOException {
+            try {
                 while (true) {
                     Socket socket = listener.accept();
                     sockets.add(socket);
                     int number = connections.incrementAndGet();
                     runInBackground(() -> serve(socket, number));
                 }
-            });
+            } finally {
+                acceptingEnded.countDown();
+            }
         }
 
         int port() {
@@ -185,10 +192,16 @@
             }
         }
 
+        /** Closes the server; its port is free after that, which it is not while a thread accepts. */
         @Override
         public void close() throws IOException {
             listener.close();
             closeConnections();
+            try {
+                acceptingEnded.await(5, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
         }
     }
 
