Relays under test get loopback hosts of their own; a failed start shows the log

Cause: a fixture asks the system for a free port on 127.0.0.2, closes it, and its relay binds it half a second later. Tests run in two threads, so the relay of the other thread can get the same port. Then one relay ends with "Address already in use", and its test talks to the other relay, which is ready.

Change: LoopbackAddresses gives each relay a host in 127.0.0.0/8 that no other server of the test process uses; RelayFixture, RelayProcess and StartupBenchmark take theirs there. RelayFixture.start fails at once if the process has ended, and every failure of it has the relay's log. No check or bound changed.

--- a/lab/src/main/java/yewpath/lab/StartupBenchmark.java
+++ b/lab/src/main/java/yewpath/lab/StartupBenchmark.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -21,6 +19,7 @@
 import yewpath.standins.peer.Client;
 import yewpath.standins.peer.Endpoint;
 import yewpath.standins.peer.Platform;
+import yewpath.standins.process.LoopbackAddresses;
 import yewpath.standins.process.RelayConfig;
 import yewpath.standins.referee.DeliveryReferee;
 
@@ -109,7 +108,7 @@
                     platform::publishList));
             }
             String discovery = platform.openWithEndpoints(endpoints);
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = LoopbackAddresses.next();
             Path config = folder.resolve("config.json");
             RelayConfig.write(config, address, discovery, folder.resolve("state"),
                 List.of(new RelayConfig.MessageClass("status", "pure", false, 2_000, 8_000)),
@@ -183,12 +182,6 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
-        }
-    }
-
     private static boolean isReady(InetSocketAddress address) {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(1_000);
--- a/relay/src/test/java/yewpath/ClientFloodTest.java
+++ b/relay/src/test/java/yewpath/ClientFloodTest.java
@@ -32,8 +32,8 @@
         private final SocketChannel channel;
         private final ByteBuffer request;
 
-        WritingClient(int port, byte[] request) throws IOException {
-            channel = SocketChannel.open(new InetSocketAddress(RelayFixture.RELAY_ADDRESS, port));
+        WritingClient(InetSocketAddress relay, byte[] request) throws IOException {
+            channel = SocketChannel.open(relay);
             channel.configureBlocking(false);
             this.request = ByteBuffer.wrap(request);
         }
@@ -133,7 +133,7 @@
         List<WritingClient> others = new ArrayList<>();
         List<String> answers = new ArrayList<>();
         for (int i = 0; i < clients; i++) {
-            others.add(new WritingClient(fixture.port, request));
+            others.add(new WritingClient(fixture.relayAddress, request));
         }
         Thread writer = new Thread(() -> {
             while (!Thread.currentThread().isInterrupted()) {
@@ -159,7 +159,7 @@
 
     private String submit(String id) {
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(RelayFixture.RELAY_ADDRESS, fixture.port),
+            socket.connect(fixture.relayAddress,
                 CLIENT_WAIT_MILLIS);
             socket.setSoTimeout(CLIENT_WAIT_MILLIS);
             return String.valueOf(RelayFixture
--- a/relay/src/test/java/yewpath/ClosingTest.java
+++ b/relay/src/test/java/yewpath/ClosingTest.java
@@ -205,8 +205,7 @@
         Thread client = new Thread(() -> {
             for (int i = 0; running.get(); i++) {
                 String id = "s" + i;
-                try (Socket socket = new Socket(RelayFixture.RELAY_ADDRESS, fixture.port)) {
-                    socket.setSoTimeout(5_000);
+                try (Socket socket = fixture.connect()) {
                     if (RelayFixture
                         .exchange(socket, RelayFixture.messageRequest(id, "status", 1, 30_000, "x"))
                         .status() == 202) {
--- a/relay/src/test/java/yewpath/RelayFixture.java
+++ b/relay/src/test/java/yewpath/RelayFixture.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -27,6 +28,7 @@
 import java.util.function.Function;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import yewpath.standins.process.LoopbackAddresses;
 
 /**
  * Runs a relay in its own process against stubs of the endpoints and of the platform, which serves discovery
@@ -36,11 +38,6 @@
 final class RelayFixture implements AutoCloseable {
     /** A success with an empty body; all such responses are alike, see {@link #uniqueOk}. */
     static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    /**
-     * The address on which relays listen. Stubs use another one, so none can occupy the port of a stopped
-     * relay.
-     */
-    static final String RELAY_ADDRESS = "127.0.0.2";
     private static final String MAX_HEAP_FLAG = "-Xmx64m";
     private static final AtomicInteger RESPONSE_COUNT = new AtomicInteger();
     /** A responder returns this to send nothing and leave the connection open until the relay closes it. */
@@ -335,17 +332,15 @@
     boolean leaveOutputUnread;
     /** The weight of listed endpoints: the advertised limit in calls per second. */
     String endpointWeight = "50.0";
-    /** The relay's port. */
-    int port;
+    /** The address on which the relay listens; no other server uses its host. */
+    final InetSocketAddress relayAddress;
     /** The version of the endpoint list published last. */
     int listVersion = 1;
     Process process;
 
     RelayFixture() throws IOException {
         directory = Files.createTempDirectory("yewpath");
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(RELAY_ADDRESS))) {
-            port = free.getLocalPort();
-        }
+        relayAddress = LoopbackAddresses.next();
         discovery = new StubServer(this::platform);
         runInBackground(() -> {
             while (!discovery.listener.isClosed()) {
@@ -490,7 +485,8 @@
     }
 
     private String configWithOriginalNames() {
-        return "{\"name\":\"n0\",\"listen\":\"" + RELAY_ADDRESS + ":" + port + "\",\"discovery\":\""
+        return "{\"name\":\"n0\",\"listen\":\"" + LoopbackAddresses.hostAndPort(relayAddress)
+            + "\",\"discovery\":\""
             + discovery.address()
             + "\",\"state\":\"" + directory.resolve("state")
             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
@@ -534,12 +530,28 @@
         return builder;
     }
 
-    /** Starts the relay and waits until it is ready and watches discovery. */
+    /**
+     * Starts the relay and waits until it is ready and watches discovery. If it does not, or if it ends, the
+     * message of the error has the relay's log.
+     */
     void start() throws Exception {
         startProcess();
-        waitUntil("the relay is ready", 10_000, this::isReady);
-        waitUntil("the relay watches the endpoint list", 5_000,
-            () -> watchDelayMillis < 0 || !watches.isEmpty());
+        try {
+            waitUntil("the relay is ready", 10_000, () -> isReady(process));
+            waitUntil("the relay watches the endpoint list", 5_000,
+                () -> watchDelayMillis < 0 || !watches.isEmpty());
+        } catch (AssertionError notStarted) {
+            throw new AssertionError(notStarted.getMessage() + "; log of the relay: "
+                + (leaveOutputUnread ? "not read" : logLines()), notStarted);
+        }
+    }
+
+    /** Returns whether a process is the relay that is ready; throws AssertionError if the process has ended. */
+    private boolean isReady(Process relay) {
+        if (!relay.isAlive()) {
+            throw new AssertionError("the relay ended while it started");
+        }
+        return isReady();
     }
 
     boolean isReady() {
@@ -602,7 +614,7 @@
 
     /** Connects to the relay; reads time out after 5 seconds. */
     Socket connect() throws IOException {
-        Socket socket = new Socket(RELAY_ADDRESS, port);
+        Socket socket = new Socket(relayAddress.getAddress(), relayAddress.getPort());
         socket.setSoTimeout(5_000);
         return socket;
     }
--- a/relay/src/test/java/yewpath/RestartTest.java
+++ b/relay/src/test/java/yewpath/RestartTest.java
@@ -27,6 +27,7 @@
 import yewpath.ledger.Ledger;
 import yewpath.ledger.LedgerEntry;
 import yewpath.loop.ClockReading;
+import yewpath.standins.process.LoopbackAddresses;
 
 /**
  * Restarts of the process, after a kill or a shutdown: accepted messages, owed notices and possibly executed
@@ -688,7 +689,7 @@
             validConfig.replace("request_classes", "classes"),
             validConfig.replace("\"disk_mb\":3", "\"disk_mb\":\"much\""),
             validConfig.replace("\"version\":1,", ""),
-            validConfig.replace(RelayFixture.RELAY_ADDRESS + ":" + fixture.port, "nowhere")}) {
+            validConfig.replace(LoopbackAddresses.hostAndPort(fixture.relayAddress), "nowhere")}) {
             Path file = Files.writeString(fixture.directory.resolve("bad.json"), invalidConfig);
             Process process = RelayFixture.yewpathCommand("serve", "--config", file.toString()).start();
             String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/standins/src/main/java/yewpath/standins/demo/Demo.java
+++ b/standins/src/main/java/yewpath/standins/demo/Demo.java
@@ -92,7 +92,7 @@
             if (stay) {
                 return keepRunning(relay);
             }
-            out.println("the relay serves at 127.0.0.1:" + relay.address.getPort() + "; submitting "
+            out.println("the relay serves at " + relay.url() + "; submitting "
                 + messagesPerSecond
                 + " messages a second for 8 s, each of which must get exactly one outcome");
             reactor.execute(() -> {
@@ -115,7 +115,7 @@
     }
 
     private int keepRunning(RelayProcess relay) throws InterruptedException {
-        String relayUrl = "http://127.0.0.1:" + relay.address.getPort();
+        String relayUrl = relay.url();
         out.println(
             "the relay serves until this program is ended (Ctrl-C); destination 1 is steady, 4 is slow. "
                 + "Try:\n\n"
--- a/standins/src/main/java/yewpath/standins/process/RelayConfig.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayConfig.java
@@ -83,7 +83,7 @@
      * Writes the configuration file.
      *
      * @param file is created or replaced
-     * @param address the relay's address; only the port counts, the host is always 127.0.0.1
+     * @param address the address that the relay listens on
      * @param platform host:port of the platform, which serves discovery and receives notices
      * @param stateFolder where the relay keeps data that outlast a restart
      */
@@ -93,7 +93,7 @@
             JsonGenerator json = new JsonFactory().createGenerator(output).useDefaultPrettyPrinter()) {
             json.writeStartObject();
             json.writeStringField("name", "demo");
-            json.writeStringField("listen", "127.0.0.1:" + address.getPort());
+            json.writeStringField("listen", LoopbackAddresses.hostAndPort(address));
             json.writeStringField("discovery", platform);
             json.writeStringField("state", stateFolder.toString());
             json.writeStringField("seed", "1f");
--- a/standins/src/main/java/yewpath/standins/process/RelayProcess.java
+++ b/standins/src/main/java/yewpath/standins/process/RelayProcess.java
@@ -6,7 +6,6 @@
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URL;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -40,7 +39,7 @@
      *
      * @param command starts the relay; the arguments {@code serve --config FILE} are added
      * @param platform host:port of the platform
-     * @param port 0 for any free port
+     * @param port the port on 127.0.0.1; 0 for a free port on a loopback address of this relay's own
      * @param moreArguments follow the other arguments
      * @throws IOException if the relay ends, or is not ready within 10 s; the message has the relay's log if
      * it ended
@@ -50,13 +49,8 @@
         RelayConfig.Topology topology, List<String> moreArguments)
         throws IOException, InterruptedException {
         folder = Files.createTempDirectory("yewpath-demo");
-        int relayPort = port;
-        if (port == 0) {
-            try (ServerSocket freePort = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                relayPort = freePort.getLocalPort();
-            }
-        }
-        address = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), relayPort);
+        address = port == 0 ? LoopbackAddresses.next()
+            : new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port);
         Path config = folder.resolve("config.json");
         RelayConfig.write(config, address, platform, folder.resolve("state"), messageClasses, settings,
             topology);
@@ -108,9 +102,7 @@
      * @throws IOException also if the answer has an error status or takes more than 0.5 s
      */
     public String get(String path) throws IOException {
-        HttpURLConnection connection = (HttpURLConnection) new URL(
-            "http://127.0.0.1:" + address.getPort() + path)
-            .openConnection();
+        HttpURLConnection connection = (HttpURLConnection) new URL(url() + path).openConnection();
         connection.setConnectTimeout(500);
         connection.setReadTimeout(500);
         try (InputStream body = connection.getInputStream()) {
@@ -120,6 +112,11 @@
         }
     }
 
+    /** Returns the relay's address as a URL without a path. */
+    public String url() {
+        return "http://" + LoopbackAddresses.hostAndPort(address);
+    }
+
     /** Returns the process id of the relay. */
     public long pid() {
         return process.pid();
