--- a/relay/src/main/java/yewpath/intake/ClientConnection.java
+++ b/relay/src/main/java/yewpath/intake/ClientConnection.java
@@ -292,24 +292,28 @@
             respondWithError(400);
             return;
         }
-        intake.submit(id, messageClass, parser.header("Tenant"), parser.header("Affinity-Key"),
-            parser.header("Idempotency-Key"),
-            destination, timeoutMicros, parser.removeBody(), new MessageIntake.Reply() {
-                @Override
-                public boolean send(int status, long retryAfterMicros) {
-                    HttpMessageBuilder response = HttpMessageBuilder.response(status);
-                    if (retryAfterMicros > 0) {
-                        response.header("Retry-After", HeaderFields.formatSeconds(retryAfterMicros));
-                    }
-                    respond(response, new byte[0]);
-                    return !connection.isClosed();
-                }
+        Submission submission = new Submission(id, messageClass, parser.header("Tenant"),
+            parser.header("Affinity-Key"), parser.header("Idempotency-Key"), destination,
+            parser.removeBody());
+        intake.submit(submission, timeoutMicros, new SubmissionReply());
+    }
 
-                @Override
-                public boolean isClientGone() {
-                    return connection.isClosed() || connection.isInputEnded();
-                }
-            });
+    /** Answers the request that submitted a message. */
+    private final class SubmissionReply implements MessageIntake.Reply {
+        @Override
+        public boolean send(int status, long retryAfterMicros) {
+            HttpMessageBuilder response = HttpMessageBuilder.response(status);
+            if (retryAfterMicros > 0) {
+                response.header("Retry-After", HeaderFields.formatSeconds(retryAfterMicros));
+            }
+            respond(response, new byte[0]);
+            return !connection.isClosed();
+        }
+
+        @Override
+        public boolean isClientGone() {
+            return connection.isClosed() || connection.isInputEnded();
+        }
     }
 
     private void respondWithError(int status) {
--- a/relay/src/main/java/yewpath/intake/MessageIntake.java
+++ b/relay/src/main/java/yewpath/intake/MessageIntake.java
@@ -32,17 +32,9 @@
     /**
      * Submits a message. The decision may come after this call returns.
      *
-     * @param id the client's id of the message; a message with the id of an open one is the same message
-     * @param messageClass a known message class
-     * @param tenant the tenant; null if there is none
-     * @param affinityKey the value of the header Affinity-Key; null if there is none
-     * @param idempotencyKey the value of the header Idempotency-Key; null if there is none
-     * @param destination the number of the destination
+     * @param submission the message; one with the id and the content of an accepted message is the same message
      * @param timeoutMicros time until the message expires
-     * @param body the content of the message
      * @param reply sends the response when the relay has accepted or refused the message
      */
-    void submit(String id, String messageClass, String tenant, String affinityKey, String idempotencyKey,
-        String destination, long timeoutMicros,
-        byte[] body, Reply reply);
+    void submit(Submission submission, long timeoutMicros, Reply reply);
 }
--- a/relay/src/main/java/yewpath/relay/Relay.java
+++ b/relay/src/main/java/yewpath/relay/Relay.java
@@ -22,6 +22,7 @@
 import yewpath.events.Log;
 import yewpath.intake.ClientListener;
 import yewpath.intake.MessageIntake;
+import yewpath.intake.Submission;
 import yewpath.json.Json;
 import yewpath.ledger.ContentFingerprint;
 import yewpath.ledger.FinishedMessages.FinishedMessage;
@@ -253,8 +254,8 @@
         for (TrackedMessage message : List.copyOf(acceptedInRound)) {
             ledger.discard(message.entry);
             if (!message.ended) {
-                refuse(message.entry.id, "disk", message.reply);
-                message.reply = null;
+                logRefusal(message.entry.id, "disk");
+                message.answer(503, clientRetryDelayMicros());
                 message.withdrawn = true;
                 loop.enqueue(() -> endWithdrawn(message));
             }
@@ -302,81 +303,107 @@
     }
 
     @Override
-    public void submit(String id, String messageClass, String tenant, String affinityKey,
-        String idempotencyKey, String destination,
-        long timeoutMicros, byte[] body, Reply reply) {
+    public void submit(Submission submission, long timeoutMicros, Reply reply) {
         long deadlineMicros = loop.nowMicros() + timeoutMicros;
-        loop.enqueue(() -> accept(id, messageClass, tenant, affinityKey, idempotencyKey, destination,
-            deadlineMicros, body, reply));
+        loop.enqueue(() -> accept(submission, deadlineMicros, reply));
     }
 
     /** Accepts or refuses a submitted message; runs in the round after its submission. */
-    private void accept(String id, String messageClass, String tenant, String affinityKey,
-        String idempotencyKey, String destination,
-        long deadlineMicros, byte[] body, Reply reply) {
+    private void accept(Submission submission, long deadlineMicros, Reply reply) {
         if (reply.isClientGone()) {
             return;
         }
-        LedgerEntry entry = ledger.createEntry(id, messageClass, tenant, affinityKey, idempotencyKey,
-            destination, deadlineMicros, body);
-        if (answerRepeat(entry, reply)) {
+        TrackedMessage known = messages.find(submission.id());
+        if (known != null && known.withdrawn) {
+            // Its last steps are queued already.
+            loop.enqueue(() -> accept(submission, deadlineMicros, reply));
             return;
         }
+        FinishedMessage finished = ledger.finishedMessages().find(submission.id(), loop.nowMicros());
+        if (finished != null) {
+            answerRepeatOfFinished(submission, finished, reply);
+        } else if (known != null) {
+            answerRepeatOfOpen(submission, known, reply);
+        } else {
+            acceptNew(submission, deadlineMicros, reply);
+        }
+    }
+
+    private void acceptNew(Submission submission, long deadlineMicros, Reply reply) {
+        LedgerEntry entry = ledger.createEntry(submission.id(), submission.messageClass(),
+            submission.tenant(), submission.affinityKey(), submission.idempotencyKey(),
+            submission.destination(), deadlineMicros, submission.body());
         String refusal = isClosing() ? "closing" : !ledger.isWritable() ? "disk"
             : messages.openCount() >= maxOpenMessages ? "hold" : !ledger.hasRoomFor(entry) ? "ledger"
                 // A message to an unlisted destination would occupy space until its deadline, and the
                 // number of each such destination would be kept forever. The list that names the
                 // destination may only be late, so the client may retry.
-                : !endpoints.isListedDestination(destination) ? "unlisted" : null;
+                : !endpoints.isListedDestination(submission.destination()) ? "unlisted" : null;
         if (refusal != null) {
-            refuse(id, refusal, reply);
+            refuse(submission.id(), refusal, reply);
             return;
         }
         // Recorded at once, so that the space check of the next message in this round includes it.
         ledger.recordAccepted(entry);
         TrackedMessage message = messages.add(entry, loop.nowMicros());
-        message.reply = reply;
+        message.replies.add(reply);
         acceptedInRound.add(message);
         acceptedCount++;
         if (Log.isEnabled(Event.MESSAGE_ACCEPTED)) {
-            Log.log(Event.MESSAGE_ACCEPTED, id, messageClass, tenant, destination,
-                (deadlineMicros - loop.nowMicros()) / 1000,
-                body.length);
+            Log.log(Event.MESSAGE_ACCEPTED, entry.id, entry.messageClass, entry.tenant, entry.destination,
+                (deadlineMicros - loop.nowMicros()) / 1000, entry.body.length);
         }
-        reportToPolicy(message, platformSettings.messageClasses.find(messageClass), 0);
+        reportToPolicy(message, platformSettings.messageClasses.find(entry.messageClass), 0);
     }
 
     /**
-     * Answers a request whose message was accepted before under the same id: an open message still gets
-     * exactly one outcome, and a finished one is not attempted again. The client of a rejected message may
-     * submit it under another id. A request with other content is no repeat but the message of another client,
-     * which learns that it is not accepted.
-     *
-     * @return false if no such message is known
+     * Answers a request whose message has ended; it is not attempted again. The client of a rejected message may
+     * submit it under another id.
      */
-    private boolean answerRepeat(LedgerEntry submitted, Reply reply) {
-        String id = submitted.id;
-        FinishedMessage finished = ledger.finishedMessages().find(id, loop.nowMicros());
-        TrackedMessage open = messages.find(id);
-        if (finished == null && open == null) {
-            return false;
-        }
-        int knownFingerprint = finished != null ? finished.contentFingerprint()
-            : open.entry.contentFingerprint;
-        if (ContentFingerprint.differ(knownFingerprint, submitted.contentFingerprint)) {
-            logRefusal(id, "taken");
-            reply.send(HTTP_CONFLICT, 0);
-            return true;
+    private void answerRepeatOfFinished(Submission submission, FinishedMessage finished, Reply reply) {
+        if (hasOtherContent(submission, finished.contentFingerprint())) {
+            refuseOtherContent(submission.id(), reply);
+        } else if (finished.rejected()) {
+            refuse(submission.id(), "repeated", reply);
+        } else {
+            confirmRepeat(submission.id(), true, reply);
         }
-        if (finished != null && finished.rejected()) {
-            refuse(id, "repeated", reply);
-            return true;
+    }
+
+    /**
+     * Answers a request whose message is open and still gets exactly one outcome. While the acceptance of the
+     * message is not written yet, the request waits for the same answer as the first one.
+     */
+    private void answerRepeatOfOpen(Submission submission, TrackedMessage open, Reply reply) {
+        if (hasOtherContent(submission, open.entry.contentFingerprint)) {
+            refuseOtherContent(submission.id(), reply);
+        } else if (open.isAnswerPending()) {
+            open.replies.add(reply);
+        } else {
+            confirmRepeat(submission.id(), false, reply);
         }
+    }
+
+    /**
+     * Whether a request under a known id is no repeat but the message of another client, which has to learn that it
+     * is not accepted.
+     */
+    private static boolean hasOtherContent(Submission submission, int knownFingerprint) {
+        return ContentFingerprint.differ(knownFingerprint,
+            ContentFingerprint.of(submission.messageClass(), submission.destination(),
+                submission.affinityKey(), submission.idempotencyKey(), submission.body()));
+    }
+
+    private static void refuseOtherContent(String id, Reply reply) {
+        logRefusal(id, "taken");
+        reply.send(HTTP_CONFLICT, 0);
+    }
+
+    private static void confirmRepeat(String id, boolean finished, Reply reply) {
         if (Log.isEnabled(Event.MESSAGE_REPEATED)) {
-            Log.log(Event.MESSAGE_REPEATED, id, finished != null);
+            Log.log(Event.MESSAGE_REPEATED, id, finished);
         }
         reply.send(202, 0);
-        return true;
     }
 
     /**
@@ -386,7 +413,12 @@
      */
     private void refuse(String id, String reason, Reply reply) {
         logRefusal(id, reason);
-        reply.send(503, reportsRetryAfter ? policy.resubmitDelayMicros() : 0);
+        reply.send(503, clientRetryDelayMicros());
+    }
+
+    /** Returns how long a refused client should wait, in microseconds; 0 if it may not be told. */
+    private long clientRetryDelayMicros() {
+        return reportsRetryAfter ? policy.resubmitDelayMicros() : 0;
     }
 
     private static void logRefusal(String id, String reason) {
@@ -403,16 +435,14 @@
     }
 
     private void confirmAccepted(TrackedMessage message) {
-        Reply reply = message.reply;
-        message.reply = null;
-        if (!message.ended && !reply.send(202, 0)) {
-            // The client has no confirmation and may submit the message again under another id.
+        if (!message.ended && !message.answer(202, 0)) {
+            // No client has a confirmation; each may submit the message again under another id.
             message.withdrawn = true;
             loop.enqueue(() -> withdraw(message));
         }
     }
 
-    /** Ends a message whose client disconnected before it was confirmed. */
+    /** Ends a message whose clients disconnected before it was confirmed. */
     private void withdraw(TrackedMessage message) {
         if (!message.ended) {
             Log.log(Event.MESSAGE_WITHDRAWN, message.entry.id);
@@ -682,10 +712,9 @@
             Log.log(Event.MESSAGE_FAILED, message.entry.id);
         }
         messages.end(message, loop.nowMicros());
-        if (message.reply != null) {
-            Reply reply = message.reply;
+        if (message.isAnswerPending()) {
             ledger.recordCompleted(message.entry);
-            actions.add(() -> reply.send(rejected ? 503 : 500, retryAfterMicros));
+            actions.add(() -> message.answer(rejected ? 503 : 500, retryAfterMicros));
         } else {
             ledger.recordNoticeOwed(message.entry, rejected, retryAfterMicros, loop.nowMicros());
             actions.add(() -> queueNotice(message.entry));
--- a/relay/src/main/java/yewpath/relay/TrackedMessage.java
+++ b/relay/src/main/java/yewpath/relay/TrackedMessage.java
@@ -1,5 +1,7 @@
 package yewpath.relay;
 
+import java.util.ArrayList;
+import java.util.List;
 import yewpath.delivery.Call;
 import yewpath.intake.MessageIntake;
 import yewpath.ledger.LedgerEntry;
@@ -14,12 +16,12 @@
     final int index;
     /** The index of the affinity key in the key table; -1 if the message has none. */
     final int keyIndex;
-    /** Sends the response to the client; null once it is sent, and for restored messages. */
-    MessageIntake.Reply reply;
+    /** The clients that wait for the answer whether the message is accepted; empty for restored messages. */
+    final List<MessageIntake.Reply> replies = new ArrayList<>(1);
     /** Whether the message has ended; an attempt may still be in flight. */
     boolean ended;
     /**
-     * Whether the message is withdrawn: its client disconnected before the message was confirmed, or the
+     * Whether the message is withdrawn: its clients disconnected before the message was confirmed, or the
      * ledger could not be written. A withdrawn message is not sent any more.
      */
     boolean withdrawn;
@@ -39,4 +41,19 @@
         this.keyIndex = keyIndex;
         attemptCount = entry.attempts;
     }
+
+    /** Whether no client has been told yet whether the message is accepted. */
+    boolean isAnswerPending() {
+        return !replies.isEmpty();
+    }
+
+    /** Answers all clients that wait; returns whether one of them is still connected. */
+    boolean answer(int status, long retryAfterMicros) {
+        boolean anyConnected = false;
+        for (MessageIntake.Reply reply : replies) {
+            anyConnected |= reply.send(status, retryAfterMicros);
+        }
+        replies.clear();
+        return anyConnected;
+    }
 }
--- a/relay/src/test/java/yewpath/ConnectionsTest.java
+++ b/relay/src/test/java/yewpath/ConnectionsTest.java
@@ -28,6 +28,7 @@
 import yewpath.delivery.Delivery;
 import yewpath.intake.ClientListener;
 import yewpath.intake.MessageIntake;
+import yewpath.intake.Submission;
 import yewpath.loop.EventLoop;
 import yewpath.loop.Limits;
 import yewpath.operator.OperatorSettings;
@@ -259,19 +260,13 @@
             return true;
         }
 
-        public boolean knowsDestination(String number) {
-            return true;
-        }
-
         @Override
         public byte[] statistics() {
             return new byte[0];
         }
 
         @Override
-        public void submit(String id, String messageClass, String tenant, String key, String tag,
-            String destination, long within,
-            byte[] body, Reply reply) {
+        public void submit(Submission submission, long timeoutMicros, Reply reply) {
             reply.send(503, 0);
         }
     }
--- a/relay/src/test/java/yewpath/RepeatedIdTest.java
+++ b/relay/src/test/java/yewpath/RepeatedIdTest.java
@@ -4,6 +4,7 @@
 import static yewpath.RelayFixture.CLOSE_CONNECTION;
 import static yewpath.RelayFixture.waitUntil;
 
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +74,31 @@
         waitUntil("the message is delivered", 2_000, () -> endpoint.requests.size() == 1);
     }
 
+    /**
+     * Guards against 202 for a repeat of a message that is not accepted after all: both requests are read in one
+     * round, at whose end the ledger can't be written.
+     */
+    @Test
+    public void repeatInTheRoundOfAFailedWriteIsRefused() throws Exception {
+        FaultShim shim = new FaultShim(fixture);
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> RelayFixture.uniqueOk());
+        fixture.start();
+        try (Socket first = fixture.connect(); Socket second = fixture.connect()) {
+            SuspendedRelay suspended = new SuspendedRelay(fixture);
+            shim.failSystemCalls("write=" + FaultShim.ENOSPC, "open=" + FaultShim.ENOSPC);
+            byte[] request = RelayFixture.messageRequest("m1", "order", 1, WITHIN_MILLIS, "x").getBytes();
+            first.getOutputStream().write(request);
+            second.getOutputStream().write(request);
+            suspended.resume();
+            assertEquals(RelayFixture.readResponse(first).status(), 503);
+            assertEquals(RelayFixture.readResponse(second).status(), 503);
+            shim.clearFaults();
+        }
+        waitUntil("the relay accepts messages again", 2_000, fixture::isReady);
+        assertEquals(fixture.submit("m1", "order", 1, WITHIN_MILLIS), 202);
+        waitUntil("the message is delivered", 2_000, () -> endpoint.requests.size() == 1);
+    }
+
     @DataProvider
     public Object[][] signals() {
         return new Object[][]{{"KILL"}, {"TERM"}};
