--- a/relay/src/main/java/yewpath/events/Event.java
+++ b/relay/src/main/java/yewpath/events/Event.java
@@ -120,6 +120,9 @@
     NOTICE_UNACKNOWLEDGED("notice.unheard", Level.WARN,
         "The platform did not acknowledge notices; they are sent again.",
         "count", "again_in_ms"),
+    LEDGER_UNLOCKED("ledger.unlocked", Level.WARN,
+        "The file system of the state folder has no locks: a second process on the folder is not noticed.",
+        "exception"),
     LEDGER_TRUNCATED("ledger.torn", Level.WARN,
         "The previous process ended during a write; the incomplete record is ignored, nothing "
             + "depended on it.",
--- a/relay/src/main/java/yewpath/ledger/Ledger.java
+++ b/relay/src/main/java/yewpath/ledger/Ledger.java
@@ -53,6 +53,8 @@
     private record PendingRecord(long number, byte[] bytes) {}
 
     private final LedgerFile file;
+    /** Null if the caller has made sure otherwise that no other process uses the folder. */
+    private FolderLock lock;
     private final long maxLiveBytes;
     private final long compactAtBytes;
     /** Reserved when an entry is created, so that the later records of an accepted message always fit. */
@@ -335,11 +337,19 @@
         writable = false;
     }
 
+    /** Takes over the lock of the folder, which is released when the ledger is closed. */
+    public void keep(FolderLock acquiredLock) {
+        lock = acquiredLock;
+    }
+
     /** Closes the file; later calls of {@link #flush} write nothing and return false. */
     public void close() {
         closed = true;
         writable = false;
         file.close();
+        if (lock != null) {
+            lock.close();
+        }
     }
 
     /**
--- a/relay/src/main/java/yewpath/ledger/LedgerFile.java
+++ b/relay/src/main/java/yewpath/ledger/LedgerFile.java
@@ -55,7 +55,7 @@
     }
 
     /** Renames whatever has this path and is not a regular file; another program must have created it. */
-    private static void setAside(Path path) throws IOException {
+    static void setAside(Path path) throws IOException {
         if (!Files.exists(path, LinkOption.NOFOLLOW_LINKS) || Files.isRegularFile(path)) {
             return;
         }
@@ -174,7 +174,8 @@
         }
     }
 
-    private static void closeQuietly(FileChannel channel) {
+    /** Closes a file of which nothing more is needed; a failure is logged only. */
+    static void closeQuietly(FileChannel channel) {
         try {
             channel.close();
         } catch (IOException e) {
--- a/relay/src/main/java/yewpath/relay/RelayServer.java
+++ b/relay/src/main/java/yewpath/relay/RelayServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import yewpath.events.Event;
 import yewpath.events.Log;
 import yewpath.intake.ClientListener;
+import yewpath.ledger.FolderLock;
 import yewpath.ledger.Ledger;
 import yewpath.loop.Clock;
 import yewpath.loop.EventLoop;
@@ -24,6 +26,17 @@
     /** The platform treats a relay as failed that is not ready within 30 s. */
     private static final long OPEN_TIMEOUT_MICROS = 25_000_000;
     private static final long OPEN_RETRY_DELAY_MICROS = 100_000;
+    /** How long a process that was told to end may still hold the state folder. */
+    private static final long LOCK_TIMEOUT_MICROS = 2_000_000;
+
+    /** Thrown if another process uses the state folder. */
+    private static final class FolderInUseException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        FolderInUseException(Path folder) {
+            super("the state folder " + folder + " is in use by another process");
+        }
+    }
 
     private RelayServer() {}
 
@@ -95,29 +108,54 @@
 
     /**
      * Opens the ledger, and retries for a while if the state folder cannot be read. Waiting loses nothing,
-     * because the messages of an earlier process cannot be delivered before the ledger is read.
+     * because the messages of an earlier process cannot be delivered before the ledger is read. An earlier process
+     * that is about to end may have the folder for a moment.
+     *
+     * @throws IOException if the folder stays unreadable or in use
      */
     private static Ledger open(Config config, Clock clock) throws IOException, InterruptedException {
-        long deadlineMicros = clock.nowMicros() + OPEN_TIMEOUT_MICROS;
+        long startMicros = clock.nowMicros();
         for (boolean isFirst = true;; isFirst = false) {
             try {
-                return new Ledger(config.stateFolder, config.limits.maxLiveLedgerBytes(),
-                    config.limits.ledgerCompactionBytes(),
-                    config.limits.ledgerReservedBytesPerMessage(), clock.read());
-            } catch (IOException exception) {
-                boolean isNotFolder = Files.exists(config.stateFolder)
-                    && !Files.isDirectory(config.stateFolder);
-                if (isNotFolder || clock.nowMicros() >= deadlineMicros) {
-                    throw new IOException(
-                        "the state folder " + config.stateFolder
-                            + (isNotFolder ? " is not a directory" : ": " + exception),
-                        exception);
+                FolderLock lock = FolderLock.tryAcquire(config.stateFolder);
+                if (lock != null) {
+                    return openLocked(config, clock, lock);
                 }
+                if (clock.nowMicros() - startMicros >= LOCK_TIMEOUT_MICROS) {
+                    throw new FolderInUseException(config.stateFolder);
+                }
+            } catch (FolderInUseException inUse) {
+                throw inUse;
+            } catch (IOException exception) {
+                failIfUnusable(config.stateFolder, clock.nowMicros() - startMicros, exception);
                 if (isFirst) {
                     Log.log(Event.LEDGER_UNREADABLE, exception);
                 }
-                TimeUnit.MICROSECONDS.sleep(OPEN_RETRY_DELAY_MICROS);
             }
+            TimeUnit.MICROSECONDS.sleep(OPEN_RETRY_DELAY_MICROS);
+        }
+    }
+
+    private static Ledger openLocked(Config config, Clock clock, FolderLock lock) throws IOException {
+        try {
+            Ledger ledger = new Ledger(config.stateFolder, config.limits.maxLiveLedgerBytes(),
+                config.limits.ledgerCompactionBytes(),
+                config.limits.ledgerReservedBytesPerMessage(), clock.read());
+            ledger.keep(lock);
+            return ledger;
+        } catch (IOException | RuntimeException exception) {
+            lock.close();
+            throw exception;
+        }
+    }
+
+    /** Throws IOException if no retry is left for a folder that cannot be read, or none would help. */
+    private static void failIfUnusable(Path folder, long elapsedMicros, IOException cause)
+        throws IOException {
+        boolean isNotFolder = Files.exists(folder) && !Files.isDirectory(folder);
+        if (isNotFolder || elapsedMicros >= OPEN_TIMEOUT_MICROS) {
+            throw new IOException("the state folder " + folder
+                + (isNotFolder ? " is not a directory" : ": " + cause), cause);
         }
     }
 
--- a/relay/src/main/java/yewpath/relay/StartCheck.java
+++ b/relay/src/main/java/yewpath/relay/StartCheck.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import yewpath.directory.EndpointList;
+import yewpath.ledger.FolderLock;
 
 /**
  * Starts a relay to check whether a configuration works. The build runs this check too, to write the
@@ -53,6 +54,7 @@
         // The check leaves no files behind.
         relay.closeLedger();
         Files.delete(state.resolve("ledger"));
+        Files.delete(state.resolve(FolderLock.FILE_NAME));
         Files.delete(state);
         return config.name + ": starts and accepts messages";
     }
--- a/relay/src/test/java/yewpath/StateFolderTest.java
+++ b/relay/src/test/java/yewpath/StateFolderTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,6 +21,7 @@
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import yewpath.standins.process.LoopbackAddresses;
 
 /**
  * Failures of the state folder, which outlives the process: it can't be written or read, contains unexpected
@@ -189,6 +191,43 @@
         waitUntil("the message is delivered", 2_000, () -> endpoint.requests.size() == 2);
     }
 
+    /**
+     * Guards against a second process on the folder of a running relay: it would replace the ledger, which the
+     * first one writes to, and send the same messages.
+     */
+    @Test
+    public void secondProcessOnAFolderEndsAndTouchesNothing() throws Exception {
+        fixture.listDrainingEndpoint(1);
+        fixture.start();
+        assertEquals(fixture.submit("m1", "order", 1, 20_000), 202);
+        Path ledger = fixture.directory.resolve("state").resolve("ledger");
+        Object fileKey = Files.readAttributes(ledger, BasicFileAttributes.class).fileKey();
+        byte[] content = Files.readAllBytes(ledger);
+        String otherAddress = LoopbackAddresses.hostAndPort(LoopbackAddresses.next());
+        Path config = Files.writeString(fixture.directory.resolve("second.json"), fixture.config()
+            .replace(LoopbackAddresses.hostAndPort(fixture.relayAddress), otherAddress));
+        Process second = RelayFixture.yewpathCommand("serve", "--config", config.toString()).start();
+        assertTrue(second.waitFor(10, TimeUnit.SECONDS), "the second process runs");
+        assertEquals(second.exitValue(), 2);
+        assertEquals(new String(second.getInputStream().readAllBytes()), "yewpath: the state folder "
+            + ledger.getParent() + " is in use by another process\n");
+        assertEquals(Files.readAttributes(ledger, BasicFileAttributes.class).fileKey(), fileKey);
+        assertEquals(Files.readAllBytes(ledger), content);
+        assertEquals(fixture.submit("m2", "order", 1, 20_000), 202);
+    }
+
+    /** Guards against a folder that stays locked after its process was killed. */
+    @Test
+    public void folderOfAKilledProcessIsUsedAtOnce() throws Exception {
+        fixture.listDrainingEndpoint(1);
+        fixture.start();
+        assertEquals(fixture.submit("m1", "order", 1, 20_000), 202);
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> OK);
+        fixture.process.destroyForcibly();
+        fixture.startProcess();
+        waitUntil("the message is delivered", 5_000, () -> endpoint.requests.size() == 1);
+    }
+
     /**
      * Guards against messages that are lost at the next restart because the folder was replaced by an empty
      * one under a running relay, which went on writing to the old file.
