--- a/relay/src/test/java/yewpath/SoakOutcomes.java
+++ b/relay/src/test/java/yewpath/SoakOutcomes.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Returns the number of messages that were answered with 202 so far. */
+    int acceptedCount() {
+        return accepted.size();
+    }
+
     /** Waits for the last outcomes and checks all; at least this number of messages must have been accepted. */
     void check(long seed, int minAccepted) throws Exception {
         waitUntil("each accepted message has its outcome", LAST_OUTCOME_MILLIS,
