--- a/relay/src/main/java/yewpath/directory/DiscoveryClient.java
+++ b/relay/src/main/java/yewpath/directory/DiscoveryClient.java
@@ -39,6 +39,8 @@
     /** Lists that have been received and are passed to the listener in the next round. */
     private int queuedLists;
     private long receivedParts;
+    /** When a watch was reset, until another one is answered; negative if none was. */
+    private long resetAtMicros = -1;
 
     /**
      * Creates a client that sends nothing yet.
@@ -90,6 +92,7 @@
         }
         discovery = address;
         backoffMicros = 0;
+        resetAtMicros = -1;
         validity.interrupted();
         if (connection != null) {
             restartWatch();
@@ -183,6 +186,7 @@
             }
             if (!headReceived) {
                 headReceived = true;
+                resetAtMicros = -1;
                 progress.messageCompleted();
                 loop.schedule(limits.responseCompletionTimeoutMicros(), this::answerWithoutChanges);
             }
@@ -235,7 +239,11 @@
         @Override
         public void onFailure(boolean sent, HttpParser answer) {
             progress.stop();
-            reportInterruption();
+            switch (source.closeReason()) {
+                case RESET_BY_PEER -> watchReset();
+                case CONNECT_FAILED, CONNECT_TIMED_OUT -> reportAgentEnded();
+                default -> reportInterruption();
+            }
             requestEnded(isWatch);
         }
 
@@ -250,6 +258,25 @@
             }
         }
 
+        /**
+         * A reset ends the connection, but not always the agent. If the agent accepts the next connection and is
+         * silent, discovery is out, and the agent learns nothing.
+         */
+        private void watchReset() {
+            if (isWatch && headReceived && resetAtMicros < 0) {
+                resetAtMicros = loop.nowMicros();
+            }
+        }
+
+        /** After a reset, the agent has ended if it accepts no connection. The next one may know a change. */
+        private void reportAgentEnded() {
+            if (resetAtMicros >= 0) {
+                long endedAtMicros = resetAtMicros;
+                resetAtMicros = -1;
+                loop.enqueue(() -> validity.interruptedAt(endedAtMicros));
+            }
+        }
+
         /**
          * Parses what has been received of the body. If that is not valid, the connection is closed; the next
          * watch starts from the last valid version, so that discovery sends the same changes again.
--- a/relay/src/main/java/yewpath/directory/ListValidity.java
+++ b/relay/src/main/java/yewpath/directory/ListValidity.java
@@ -76,10 +76,15 @@
         limitTo(prompt ? Long.MAX_VALUE : writtenAtMicros + KNOWN_AFTER_MICROS);
     }
 
-    /** The watch has moved to another address, or the peer has closed it. */
+    /** The watch has moved to another address, or the agent of discovery has closed it. */
     void interrupted() {
+        interruptedAt(loop.nowMicros());
+    }
+
+    /** The agent of discovery has ended, or has closed the watch, at this time. */
+    void interruptedAt(long endedAtMicros) {
         interruptionCount++;
-        limitTo(Math.min(validUntilMicros, loop.nowMicros() + USABLE_AFTER_INTERRUPTION_MICROS));
+        limitTo(Math.min(validUntilMicros, endedAtMicros + USABLE_AFTER_INTERRUPTION_MICROS));
     }
 
     private void limitTo(long limitMicros) {
--- a/relay/src/main/java/yewpath/http/OutboundConnection.java
+++ b/relay/src/main/java/yewpath/http/OutboundConnection.java
@@ -65,6 +65,7 @@
     private ResponseHandler handler;
     private byte[] request;
     private boolean closed;
+    private CloseReason closeReason;
     private boolean reused;
     private boolean sendStarted;
     private boolean earlierResponseReceived;
@@ -252,6 +253,11 @@
         return closed;
     }
 
+    /** Returns why the connection was closed; null while it is open. */
+    public CloseReason closeReason() {
+        return closeReason;
+    }
+
     /** Closes the connection and reports a failure to the handler of a request that has not ended. */
     public void close(CloseReason reason) {
         if (closed) {
@@ -259,6 +265,7 @@
         }
         boolean sent = isSendComplete();
         closed = true;
+        closeReason = reason;
         if (Log.isEnabled(Event.CONNECTION_CLOSED)) {
             Log.log(Event.CONNECTION_CLOSED, address, reason, sent && handler != null);
         }
--- a/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
+++ b/relay/src/test/java/yewpath/DiscoveryInterruptionTest.java
@@ -73,6 +73,53 @@
         }
     }
 
+    private void resetWatches() throws Exception {
+        for (Socket watch : List.copyOf(fixture.discovery.sockets)) {
+            watch.setSoLinger(true, 0);
+            watch.close();
+        }
+    }
+
+    @DataProvider
+    public Object[][] modes() {
+        return new Object[][]{{"pushed"}, {"on_request"}};
+    }
+
+    /**
+     * Guards against a relay that delivers nothing in an outage of discovery that begins with a reset of its watch:
+     * the agent accepts the next one, so it did not end, and it learns nothing while it is silent.
+     */
+    @Test(dataProvider = "modes")
+    public void listIsUsedAfterAResetWhileTheAgentIsSilent(String mode) throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
+        fixture.discoveryMode = mode;
+        fixture.start();
+        waitUntil("the list is confirmed", 6_000, fixture::isListCurrent);
+        fixture.watchDelayMillis = -1;
+        resetWatches();
+        RelayFixture.pause(TOLD_MILLIS);
+        assertEquals(fixture.submit("m1", "order", 1, 15_000), 202);
+        waitUntil("the message is sent by the list", 1_000, () -> endpoint.requests.size() == 1);
+    }
+
+    /**
+     * Guards against a list that is used on after the agent has ended: its connections are reset and new ones are
+     * refused. Another agent may know changes.
+     */
+    @Test(dataProvider = "modes")
+    public void nothingIsSentAfterAResetIfNewWatchesAreRefused(String mode) throws Exception {
+        RelayFixture.StubServer endpoint = fixture.addEndpoint(1, request -> uniqueOk());
+        fixture.discoveryMode = mode;
+        fixture.start();
+        waitUntil("the list is confirmed", 6_000, fixture::isListCurrent);
+        resetWatches();
+        fixture.discovery.close();
+        RelayFixture.pause(TOLD_MILLIS);
+        assertEquals(fixture.submit("m1", "order", 1, 15_000), 202);
+        RelayFixture.pause(1_000);
+        assertEquals(endpoint.requests.size(), 0, "a message was sent by the old list");
+    }
+
     /**
      * Guards against another process of discovery that is taken for the one before: it has another list and
      * counts its versions anew, so its changes do not apply to the list in use.
