Timed actions and random numbers of the policy are classes of their own

DeliveryPolicy kept a queue of timed actions and a counter-based random generator among its fields; TimedActions and SeededRandom each have that one job now. observeFailure takes from the symptom whether a call may have been executed, in place of deriving it a second time.

Result: decisions unchanged (DecisionDigestTest), tests of decisions, configuration and ArchitectureTest green.

--- a/decisions/src/main/java/yewpath/DeliveryPolicy.java
+++ b/decisions/src/main/java/yewpath/DeliveryPolicy.java
@@ -3,7 +3,6 @@
 import static java.lang.Math.max;
 import static java.lang.Math.min;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,11 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
-import java.util.zip.CRC32;
 import yewpath.OutageState.Phase;
 import yewpath.OutageState.Symptom;
 import yewpath.PolicySettings.DeliverySemantics;
@@ -49,8 +46,6 @@
     private static final int OUTAGE_FAILURE_RUN = 4;
     /** Ready destinations that are compared when call slots are short. */
     private static final int COMPARED_DESTINATIONS = 8;
-    /** Checksums are below this. */
-    private static final double CHECKSUM_RANGE = 0x1p32;
     /** Durations in microseconds. */
     private static final long MILLISECOND = 1_000;
     private static final long SECOND = 1_000_000;
@@ -177,12 +172,6 @@
         }
     }
 
-    /**
-     * An action that runs in the first round at or after its time; {@code sequence} orders actions of one
-     * time.
-     */
-    private record TimedAction(long dueAtMicros, long sequence, Runnable action) {}
-
     /** A destination with its endpoints, its window and its queues. */
     private final class Destination {
         Endpoint[] endpoints = {};
@@ -272,13 +261,11 @@
     }
 
     private final PolicyActions actions;
-    private final long seed;
+    private final SeededRandom random;
     private final long startedAtMicros;
     private final DecayingCount allRecentArrivals = new DecayingCount();
     private long nowMicros;
-    private long randomDraws;
     private long rounds;
-    private long timedActionCount;
     private long cancelCheckAtMicros;
     /** Until this time idle connections are closed before each call, so that it goes over a new one. */
     private long renewConnectionsUntilMicros;
@@ -296,9 +283,7 @@
     private final ArrayDeque<Destination> readyDestinations = new ArrayDeque<>();
     private final ArrayList<Call> activeCalls = new ArrayList<>();
     private final Map<Integer, KeyQueue> keyQueues = new HashMap<>();
-    private final PriorityQueue<TimedAction> timedActions = new PriorityQueue<>(
-        (a, b) -> a.dueAtMicros != b.dueAtMicros
-            ? Long.compare(a.dueAtMicros, b.dueAtMicros) : Long.compare(a.sequence, b.sequence));
+    private final TimedActions timedActions = new TimedActions();
 
     // ---- Values derived from the settings
 
@@ -355,7 +340,7 @@
      */
     public DeliveryPolicy(PolicySettings settings, long seed, PolicyActions actions, long nowMicros) {
         this.actions = actions;
-        this.seed = seed;
+        random = new SeededRandom(seed);
         this.nowMicros = startedAtMicros = nowMicros;
         messageClasses = settings.messageClasses.clone();
         limitPerEndpoint = settings.limitPerEndpoint.clone();
@@ -405,17 +390,11 @@
     }
 
     private void schedule(long dueAtMicros, Runnable action) {
-        timedActions.add(new TimedAction(dueAtMicros, timedActionCount++, action));
+        timedActions.schedule(dueAtMicros, action);
     }
 
-    /**
-     * Returns a pseudo-random number, uniform in [0, 1). It is a checksum of the seed and a counter, so that
-     * the same events lead to the same actions on any machine.
-     */
     private double random() {
-        CRC32 crc = new CRC32();
-        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(randomDraws++).flip());
-        return crc.getValue() / CHECKSUM_RANGE;
+        return random.next();
     }
 
     // ---- Accepted messages and their queues
@@ -1085,12 +1064,12 @@
             endpoint.latencyMicros = max(endpoint.latencyMicros,
                 min(elapsedMicros, 2 * endpoint.latencyMicros));
         }
-        boolean mayHaveExecuted = outcome != PolicyActions.UNREACHABLE
-            && outcome != PolicyActions.CONNECTION_LIMIT;
-        boolean connectRefused = !mayHaveExecuted && elapsedMicros < refusedConnectMicros;
+        boolean failedQuickly = elapsedMicros < refusedConnectMicros;
+        Symptom symptom = symptom(outcome, failedQuickly);
+        boolean mayHaveExecuted = symptom.mayHaveExecuted;
+        boolean connectRefused = !mayHaveExecuted && failedQuickly;
         boolean mayBeFullTable = outcome == PolicyActions.CONNECTION_LIMIT
             || connectRefused && !reportsConnectionLimit;
-        Symptom symptom = symptom(outcome, connectRefused);
         if (symptom != Symptom.CONNECTION_LIMIT) {
             suspect(endpoint, symptom, call.startedAtMicros);
         }
@@ -1207,9 +1186,9 @@
     /** A state that still holds is reported again after this time, so that a new process knows its age. */
     private static final long OUTAGE_REPORT_INTERVAL_MICROS = 10 * SECOND;
 
-    private static Symptom symptom(int outcome, boolean connectRefused) {
+    private static Symptom symptom(int outcome, boolean failedQuickly) {
         return switch (outcome) {
-            case PolicyActions.UNREACHABLE -> connectRefused ? Symptom.CONNECT_REFUSED
+            case PolicyActions.UNREACHABLE -> failedQuickly ? Symptom.CONNECT_REFUSED
                 : Symptom.CONNECT_TIMED_OUT;
             case PolicyActions.ERROR -> Symptom.ERROR;
             case PolicyActions.TIMEOUT -> Symptom.TIMEOUT;
@@ -1797,13 +1776,12 @@
      */
     public void completeRound(boolean maySend) {
         rounds++;
-        while (!timedActions.isEmpty() && timedActions.peek().dueAtMicros <= nowMicros) {
-            timedActions.poll().action.run();
-        }
+        timedActions.runDue(nowMicros);
         dispatch(maySend);
         cancelHopelessCalls(maySend);
-        if (!timedActions.isEmpty() && alarmAtMicros > timedActions.peek().dueAtMicros) {
-            alarmAtMicros = timedActions.peek().dueAtMicros;
+        long nextDueAtMicros = timedActions.nextDueAtMicros(NEVER);
+        if (alarmAtMicros > nextDueAtMicros) {
+            alarmAtMicros = nextDueAtMicros;
             actions.setAlarm(alarmAtMicros - nowMicros);
         }
     }
