Clients that wait for an answer are forgotten before they are answered

Cause: TrackedMessage.answer cleared the waiting clients after it had answered them. If an answer threw, the message kept them, and its outcome would later go to them in place of a notice. Found by reading; not seen.

--- a/relay/src/main/java/yewpath/relay/TrackedMessage.java
+++ b/relay/src/main/java/yewpath/relay/TrackedMessage.java
@@ -49,11 +49,13 @@
 
     /** Answers all clients that wait; returns whether one of them is still connected. */
     boolean answer(int status, long retryAfterMicros) {
+        // Nobody waits any more, whatever happens below: the outcome of the message is reported by a notice.
+        List<MessageIntake.Reply> waiting = List.copyOf(replies);
+        replies.clear();
         boolean anyConnected = false;
-        for (MessageIntake.Reply reply : replies) {
+        for (MessageIntake.Reply reply : waiting) {
             anyConnected |= reply.send(status, retryAfterMicros);
         }
-        replies.clear();
         return anyConnected;
     }
 }
